Report the node's counts and the module's mood to the log every 10 s

Counts of clients, requests and attempts by outcome, and what governs the module's decisions, now go to the log every 10 s, one line each time.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -21,6 +21,7 @@
 use woodgap::{ClassId, Key, Semantics, Settings, TenantId};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::counts::Counts;
 use crate::driver::{Answer, Arrival, Msg};
 use crate::servers::{Call, Servers, LONGEST_BODY};
 use crate::task::{Budget, Permit};
@@ -50,6 +51,7 @@
     /// Sockets of clients, of all, and of clients that are only told to go.
     budget: Rc<Budget>,
     overflow: Rc<Budget>,
+    counts: Rc<Counts>,
     tx: mpsc::UnboundedSender<Msg>,
     next_id: Cell<u64>,
     held: Cell<usize>,
@@ -69,6 +71,7 @@
         open_cap: usize,
         servers: Rc<Servers>,
         budgets: (Rc<Budget>, Rc<Budget>),
+        counts: Rc<Counts>,
         tx: mpsc::UnboundedSender<Msg>,
     ) -> Rc<Self> {
         Rc::new(Clients {
@@ -78,6 +81,7 @@
             servers,
             budget: budgets.0,
             overflow: budgets.1,
+            counts,
             tx,
             next_id: Cell::new(1),
             held: Cell::new(0),
@@ -105,6 +109,7 @@
                         None => None,
                     };
                     let refuse = permits.is_none();
+                    if refuse { &self.counts.no_room } else { &self.counts.accepted }.add();
                     if let Some(permits) = permits.or_else(|| Some((self.overflow.take()?, None))) {
                         spawn_local(self.clone().serve(stream, permits, refuse));
                     }
@@ -186,7 +191,10 @@
                 let ready = !self.draining.get();
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
-            "/api" => self.call(request).await.unwrap_or_else(|(status, why)| plain(status, why)),
+            "/api" => self.call(request).await.unwrap_or_else(|(status, why)| {
+                self.counts.malformed.add();
+                plain(status, why)
+            }),
             _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
         }
     }
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -16,6 +16,7 @@
     SyncKind, TenantId, TimerId,
 };
 
+use crate::counts::{Counts, REPORT};
 use crate::discovery::{watch, List, News};
 use crate::peers::Peers;
 use crate::servers::{Call, Ended, Servers, TIDY};
@@ -100,6 +101,7 @@
     Overdue(u64),
     Tidy,
     Watch,
+    Report,
 }
 
 pub struct Driver {
@@ -111,6 +113,7 @@
     events: VecDeque<Event>,
     servers: Rc<Servers>,
     peers: Option<Rc<Peers>>,
+    counts: Rc<Counts>,
     discovery: SocketAddr,
     mode: Discovery,
     max_attempts: usize,
@@ -139,6 +142,7 @@
         config: &crate::config::Config,
         servers: Rc<Servers>,
         peers: Option<Rc<Peers>>,
+        counts: Rc<Counts>,
         tx: mpsc::UnboundedSender<Msg>,
     ) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
@@ -150,6 +154,7 @@
             events: VecDeque::new(),
             servers,
             peers,
+            counts,
             discovery: config.discovery,
             mode: config.settings.discovery,
             max_attempts: config.settings.max_attempts as usize,
@@ -166,6 +171,7 @@
         let (_, members) = self.servers.apply(known);
         self.events.push_back(Event::Sync { kind: SyncKind::Cached, members });
         self.due.insert(Due::Tidy, TIDY);
+        self.due.insert(Due::Report, REPORT);
         if self.mode == Discovery::Push {
             self.subscribe();
         }
@@ -195,10 +201,15 @@
                 self.due.insert(Due::Tidy, TIDY);
             }
             Due::Watch => self.subscribe(),
+            Due::Report => {
+                crate::log::line(format_args!("{}; {}", self.counts.report(), self.balancer.mood()));
+                self.due.insert(Due::Report, REPORT);
+            }
             Due::Overdue(id) => {
                 if let Some(held) = self.held.get_mut(&id) {
                     if let Some(reply) = held.reply.take() {
                         crate::log::line(format_args!("a request was not answered by its deadline"));
+                        self.counts.late.add();
                         let _ = reply.send(Answer::Late);
                         self.events.push_back(Event::Lapsed(request_id(id)));
                     }
@@ -213,6 +224,7 @@
             Msg::Gone(id) => {
                 let Some(held) = self.held.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
+                    self.counts.gone.add();
                     self.due.remove(&held.overdue);
                     self.events.push_back(Event::Lapsed(request_id(id)));
                     self.forget(id);
@@ -231,6 +243,7 @@
     }
 
     fn request(&mut self, arrival: Arrival) {
+        self.counts.taken.add();
         let Arrival { id, class, tenant, key, repeat, cost, deadline, call, reply } = arrival;
         let patience = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
         let overdue = self.due.insert_at(Due::Overdue(id), deadline + OVERDUE);
@@ -246,6 +259,12 @@
             if !matches!(answer, Answer::Late) {
                 self.due.remove(&held.overdue);
             }
+            match answer {
+                Answer::Served(..) => self.counts.served.add(),
+                Answer::Refused(_) => self.counts.refused.add(),
+                Answer::Failed => self.counts.failed.add(),
+                Answer::Late => self.counts.late.add(),
+            }
             let _ = reply.send(answer);
         }
         self.forget(id);
@@ -297,6 +316,9 @@
     fn settle(&mut self) {
         let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
+            if let Event::Closed(closed) = &event {
+                self.counts.closed(closed.outcome);
+            }
             self.balancer.on_event(self.clock.now(), event, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(action);
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -6,6 +6,7 @@
 
 mod clients;
 mod config;
+mod counts;
 mod discovery;
 mod driver;
 mod log;
@@ -15,6 +16,7 @@
 
 use std::error::Error;
 use std::process::ExitCode;
+use std::rc::Rc;
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -23,6 +25,7 @@
 
 use clients::Clients;
 use config::Config;
+use counts::Counts;
 use driver::{Driver, Msg};
 use peers::Peers;
 use servers::Servers;
@@ -45,8 +48,9 @@
     let (tx, rx) = mpsc::unbounded_channel();
     // Each request held needs a socket of its client's and one of a server's.
     let all = config.sockets.saturating_sub(RESERVE + OVERFLOW).max(2);
-    let servers = Servers::new(config.figures.clone(), Budget::new(all));
-    let mut driver = Driver::new(&config, servers.clone(), peers.clone(), tx.clone());
+    let counts = Rc::new(Counts::default());
+    let servers = Servers::new(config.figures.clone(), Budget::new(all), counts.clone());
+    let mut driver = Driver::new(&config, servers.clone(), peers.clone(), counts.clone(), tx.clone());
     driver.start(&config.known);
     let clients = Clients::new(
         config.settings,
@@ -54,6 +58,7 @@
         config.figures.open_cap,
         servers,
         (Budget::new(all / 2), Budget::new(OVERFLOW)),
+        counts,
         tx.clone(),
     );
     if let Some(peers) = peers {
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -19,6 +19,7 @@
 use woodgap::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
 
 use crate::config::Figures;
+use crate::counts::Counts;
 use crate::discovery::{server_number, List};
 use crate::task::{AbortOnDrop, Budget, Permit};
 
@@ -75,6 +76,7 @@
 pub struct Servers {
     figures: Figures,
     budget: Rc<Budget>,
+    counts: Rc<Counts>,
     entries: RefCell<HashMap<ServerId, Entry>>,
     names: RefCell<HashMap<u32, String>>,
     epochs: Cell<u64>,
@@ -91,10 +93,11 @@
 }
 
 impl Servers {
-    pub fn new(figures: Figures, budget: Rc<Budget>) -> Rc<Self> {
+    pub fn new(figures: Figures, budget: Rc<Budget>, counts: Rc<Counts>) -> Rc<Self> {
         Rc::new(Servers {
             figures,
             budget,
+            counts,
             entries: RefCell::default(),
             names: RefCell::default(),
             epochs: Cell::new(0),
@@ -231,6 +234,7 @@
 
     async fn dial(&self, addr: SocketAddr, epoch: u64) -> io::Result<Link> {
         let permit = self.permit().await.ok_or_else(|| io::Error::other("no socket is free"))?;
+        self.counts.dialled.add();
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
         let (sender, connection) = http1::Builder::new()
@@ -382,7 +386,7 @@
             open_cap: 10,
             report: vec!["queue".into(), "util".into()],
         };
-        Servers::new(figures, Budget::new(sockets))
+        Servers::new(figures, Budget::new(sockets), Rc::default())
     }
 
     fn list(addr: SocketAddr, state: ServerState, complete: bool) -> List {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -319,6 +319,22 @@
         }
     }
 
+    /// What governs the decisions at present, for the host's log: the servers named are those that
+    /// do not carry all their slots.
+    pub fn mood(&self) -> String {
+        let Mood { limit, late, failing, ejected, .. } = self.mood;
+        let mut text = format!(
+            "in flight {} of {limit:.1}, late {late:.2}, failing {failing:.2}, ejected {ejected:.2}",
+            self.inflight
+        );
+        for server in self.servers.iter().filter(|s| s.ready && self.share(s) < 1.0) {
+            let Server { inflight, ratio, .. } = server;
+            let (id, share) = (server.member.server.0, self.share(server));
+            text += &format!(", server {id:x} share {share:.2} ratio {ratio:.1} holds {inflight}");
+        }
+        text
+    }
+
     // Discovery.
 
     fn on_sync(&mut self, kind: SyncKind, members: Vec<Member>, out: &mut Vec<Action>) {
