--- a/src/brain.rs
+++ b/src/brain.rs
@@ -794,7 +794,8 @@
         let silent = server.quiet_since + closed.spent <= self.now;
         let hung = timed_out && silent && self.mood.ejected <= FEW_OUT;
         if answered || timed_out {
-            late = !hung && (timed_out || closed.spent > self.settings.classes[class].aim);
+            // One that was given up before its aim may well have been answered in time.
+            late = !hung && closed.spent > self.settings.classes[class].aim;
             let sign = if hung { self.mood.late } else { f64::from(u8::from(late)) };
             self.mood.late += 0.03 * (sign - self.mood.late);
             server.ratio += 0.15 * ((spent / norm.mean.max(1.0)).min(5.0) - server.ratio);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -208,6 +208,24 @@
     assert_eq!(sent_on, 100);
 }
 
+// Guards against refusing at the usual load: an attempt that is stopped early, so that another may
+// still be in time, has not been late.
+#[test]
+fn time_outs_before_the_aim_do_not_hold_down_what_is_in_flight() {
+    let sent_on = |spent: Micros| {
+        let mut node = Node::fleet(10);
+        for n in 0..200 {
+            node.now += 5_000;
+            let outcome = if n % 4 == 0 { Outcome::Timeout } else { Outcome::Ok };
+            let Some(server) = sent(&node.ask(n, UNSAFE, n)) else { continue };
+            node.close_after(n, 0, server, outcome, if n % 4 == 0 { spent } else { 50_000 });
+        }
+        (1000..1100).filter(|&n| sent(&node.ask(n, UNSAFE, n)).is_some()).count()
+    };
+    assert_eq!(sent_on(200_000), 100);
+    assert!(sent_on(600_000) < 100);
+}
+
 // Guards against refusing what the fleet could serve: the time-outs of a server that answers nobody
 // are no sign of too much work, unless that server answers others or a good part of the fleet is out.
 #[test]
