Move the watch to the new discovery address on SIGHUP instead of dying of it

The node installed no handler, so the signal's default ended it. It now reads the file again, takes discovery's address from the file alone (the environment still holds the one of the start) and opens its watch there at once; a file that can't be read leaves all as it was.

--- a/src/bin/woodgap/config.rs
+++ b/src/bin/woodgap/config.rs
@@ -115,6 +115,13 @@
             figures,
         })
     }
+
+    /// Discovery's address in a file that has replaced the first. The environment is not asked: its
+    /// words are those of the start.
+    pub fn read_discovery(text: &str) -> Result<SocketAddr, Box<dyn Error>> {
+        let file: File = serde_json::from_str(text)?;
+        Ok(file.discovery.ok_or("the file names no discovery")?.parse()?)
+    }
 }
 
 fn seed(value: &Value) -> u64 {
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -75,6 +75,8 @@
         from: u32,
         data: Vec<u8>,
     },
+    /// Discovery answers at this address from now on.
+    Discovery(SocketAddr),
 }
 
 /// An attempt that is out.
@@ -239,6 +241,11 @@
             Msg::News { watch, news } if watch == self.watch => self.news(news),
             Msg::News { .. } => {}
             Msg::Peer { from, data } => self.events.push_back(Event::Peer { from, data }),
+            Msg::Discovery(addr) => {
+                self.discovery = addr;
+                // Whoever asked for the watch there was, it ends with the old address.
+                self.subscribe();
+            }
         }
     }
 
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -15,6 +15,7 @@
 mod task;
 
 use std::error::Error;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 
@@ -37,8 +38,9 @@
 /// Connections past the budget that are told so at a time.
 const OVERFLOW: usize = 32;
 
-async fn run(config: Config) -> Result<(), Box<dyn Error>> {
+async fn run(config: Config, path: PathBuf) -> Result<(), Box<dyn Error>> {
     let mut term = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
     let peers = match config.peer_listen {
@@ -61,6 +63,18 @@
         counts,
         tx.clone(),
     );
+    let news = tx.clone();
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match new_discovery(&path) {
+                Ok(addr) => {
+                    log::line(format_args!("discovery moves to {addr}"));
+                    let _ = news.send(Msg::Discovery(addr));
+                }
+                Err(error) => log::line(format_args!("the new configuration is left alone: {error}")),
+            }
+        }
+    });
     if let Some(peers) = peers {
         spawn_local(async move {
             loop {
@@ -78,15 +92,21 @@
     Ok(())
 }
 
+/// Discovery's address, read again from the configuration.
+fn new_discovery(path: &Path) -> Result<std::net::SocketAddr, Box<dyn Error>> {
+    Config::read_discovery(&std::fs::read_to_string(path)?)
+}
+
 fn start() -> Result<(), Box<dyn Error>> {
     let env: std::collections::HashMap<String, String> = std::env::vars_os()
         .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)))
         .collect();
     let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
     let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+    let path = PathBuf::from(path);
     let config = Config::read(&text, &env)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(LocalSet::new().run_until(run(config)))
+    runtime.block_on(LocalSet::new().run_until(run(config, path)))
 }
 
 fn main() -> ExitCode {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,7 +1,7 @@
 //! The real node over loopback sockets, between servers and a discovery of the test's own.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -142,7 +142,9 @@
     members: Vec<Value>,
     seen: Receiver<Seen>,
     watches: Receiver<(Message, TcpStream)>,
-    _config: tempfile::NamedTempFile,
+    /// What the node was told, and the file that tells it.
+    config: Value,
+    file: tempfile::NamedTempFile,
 }
 
 impl Drop for Site {
@@ -170,12 +172,13 @@
             })
             .collect();
         let (tx, watches) = channel();
+        let discovery = discovery(tx).to_string();
         let class = |name: &str, semantics: &str| {
             json!({"name": name, "aim": 20_000_000, "deadline": 60_000_000, "semantics": semantics,
                 "points": 1.0, "late-share": 0.2, "key-scope": "all", "key-ttl": 5_000_000})
         };
         let config = json!({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery(tx).to_string(), "seed": "1f",
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f",
             "limits": limits,
             "known": {"revision": 41, "complete": true, "members": members},
             "settings": {
@@ -192,6 +195,7 @@
         let mut node = Command::new(env!("CARGO_BIN_EXE_woodgap"))
             .env_clear()
             .env("BALANCER_CONFIG", file.path())
+            .env("BALANCER_DISCOVERY", &discovery)
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -201,7 +205,7 @@
             .find_map(|line| line.unwrap().split_once("listens on ").map(|(_, addr)| addr.parse().unwrap()))
             .unwrap();
         thread::spawn(move || log.for_each(drop));
-        Site { node, addr, does, members, seen, watches, _config: file }
+        Site { node, addr, does, members, seen, watches, config, file }
     }
 
     fn all_do(&self, what: Does) {
@@ -234,6 +238,11 @@
         self.seen.try_iter().filter_map(taken).collect()
     }
 
+    fn signal(&self, name: &str) {
+        let pid = self.node.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
     fn watch(&self) -> (Message, TcpStream) {
         self.watches.recv_timeout(PATIENCE).expect("a watch")
     }
@@ -438,6 +447,42 @@
     assert!(request.first.contains("index=43 "), "{}", request.first);
 }
 
+// The environment still has the address of the start when the file names another.
+#[test]
+fn sighup_moves_the_watch_to_the_address_in_the_new_file() {
+    let mut site = Site::new(2);
+    let (_, mut old) = site.watch();
+    let (tx, moved) = channel();
+    site.config["discovery"] = json!(discovery(tx).to_string());
+    std::fs::write(site.file.path(), site.config.to_string()).unwrap();
+    site.signal("-HUP");
+    let (request, mut stream) = moved.recv_timeout(PATIENCE).expect("a watch at the new address");
+    assert!(request.first.contains("index=41 "), "{}", request.first);
+    old.set_read_timeout(Some(PATIENCE)).unwrap();
+    assert_eq!(old.read(&mut [0; 1]).expect("the old watch is closed"), 0);
+    site.members[0]["phase"] = json!("terminating");
+    let list = json!({"revision": 42, "complete": false, "members": [site.members[0]]});
+    chunk(&mut stream, &format!("{list}\n"));
+    until("the draining server is left alone", || {
+        (0..8).for_each(|n| assert_eq!(site.ask("pay", &n.to_string()).status(), 200));
+        !site.requests().iter().any(|(server, _)| *server == 0)
+    });
+}
+
+// A file that can't be read must not end the node or its watch.
+#[test]
+fn sighup_with_a_broken_file_changes_nothing() {
+    let mut site = Site::new(1);
+    let (_, mut stream) = site.watch();
+    std::fs::write(site.file.path(), "{").unwrap();
+    site.signal("-HUP");
+    site.members[0]["phase"] = json!("terminating");
+    let list = json!({"revision": 42, "complete": false, "members": [site.members[0]]});
+    chunk(&mut stream, &format!("{list}\n"));
+    until("the list is still followed", || site.ask("pay", "1").status() == 503);
+    assert!(site.node.try_wait().unwrap().is_none());
+}
+
 #[test]
 fn a_silent_watch_is_given_up() {
     let site = Site::new(1);
@@ -468,8 +513,7 @@
     let mut busy = site.dial();
     busy.write_all(&request("pay", "9", 60_000)).unwrap();
     assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Request(..))));
-    let pid = site.node.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    site.signal("-TERM");
     // New connections are taken for as long as the node lives.
     until("not ready", || {
         let answer = site.raw(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
