Give a client's place to who asks: silent and idle connections make room

Clients' places were half of what was left after a reserve of 64, and were kept by peers that sent nothing or half a request and by idle connections; a client that came then was told to return in 500 ms, which is late.

Places are what the servers' third leaves, with a reserve that fits the ten or so other descriptors the node holds.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -1,6 +1,7 @@
 //! The clients' side: connections, requests in, answers out.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,6 +35,10 @@
 /// A peer must have sent its first request whole this long after it connected, and any later one
 /// this long after its head: one that has not is owed an error or a close within 3 s.
 const WHOLE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Where all places are taken, one that has sent no whole request for so long makes room, as clients
+/// send at once, and then one that has had no request open for as long as the platform asks.
+const QUIET: Duration = Duration::from_millis(100);
+const IDLE: Duration = Duration::from_secs(2);
 /// An answer must reach the client before it gives up: the client counts from its send, the node
 /// from its read, and the way back takes time too.
 pub const MARGIN: Duration = Duration::from_millis(12);
@@ -57,6 +62,8 @@
     tx: mpsc::UnboundedSender<Msg>,
     next_id: Cell<u64>,
     held: Cell<usize>,
+    /// The connections that have a place, by the numbers they were given.
+    guests: RefCell<HashMap<u64, Rc<Guest>>>,
     connections: Cell<usize>,
     draining: Cell<bool>,
     /// Set once idle connections are to go as well.
@@ -88,6 +95,7 @@
             next_id: Cell::new(1),
             held: Cell::new(0),
             connections: Cell::new(0),
+            guests: RefCell::default(),
             draining: Cell::new(false),
             closing: Cell::new(false),
             close: Notify::new(),
@@ -106,7 +114,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
-                    let permits = match self.budget.take() {
+                    let permits = match self.room().await {
                         Some(own) => self.servers.permit().await.map(|socket| (own, Some(socket))),
                         None => None,
                     };
@@ -127,24 +135,49 @@
         }
     }
 
+    /// A client's place, at the cost of a connection without an open request where all are taken.
+    async fn room(&self) -> Option<Permit> {
+        loop {
+            if let Some(permit) = self.budget.take() {
+                return Some(permit);
+            }
+            if !self.dismiss() {
+                return None;
+            }
+            // The place is free when the connection's task is next run.
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Closes the connection that can best be spared; `false` if none can.
+    fn dismiss(&self) -> bool {
+        let mut guests = self.guests.borrow_mut();
+        let spare = guests.iter().filter(|(_, guest)| guest.may_go());
+        let first =
+            spare.min_by_key(|(_, guest)| (guest.asked.get(), guest.idle_since.get())).map(|(&n, _)| n);
+        first.and_then(|number| guests.remove(&number)).map(|guest| guest.leave.notify_one()).is_some()
+    }
+
     /// Serves a connection until it ends; past the budget only to say so.
     async fn serve(self: Rc<Self>, stream: TcpStream, permits: (Permit, Option<Permit>), refuse: bool) {
         self.connections.set(self.connections.get() + 1);
         // One that comes this late still gets its one request answered: it counts as taken.
         let last = self.closing.get();
-        // While set, no head has come yet.
-        let opened = Rc::new(Cell::new(Some(Instant::now())));
-        let unused = opened.clone();
-        let clients = self.clone();
+        let guest = Rc::new(Guest::new());
+        let number = self.next_number();
+        if !refuse {
+            self.guests.borrow_mut().insert(number, guest.clone());
+        }
+        let (clients, asks) = (self.clone(), guest.clone());
         let service = service_fn(move |request| {
-            let clients = clients.clone();
-            let whole_by = opened.take().unwrap_or_else(Instant::now) + WHOLE_TIMEOUT;
+            let (clients, guest) = (clients.clone(), asks.clone());
             async move {
                 let mut response = if refuse {
                     clients.refusal(Some(OVERFULL))
                 } else {
-                    clients.handle(request, whole_by).await
+                    clients.handle(request, &guest).await
                 };
+                guest.idle();
                 if refuse || clients.draining.get() || response.status().is_client_error() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -160,10 +193,11 @@
         let mut connection = std::pin::pin!(connection);
         let ended = tokio::select! {
             _ = connection.as_mut() => true,
-            () = silent(&unused) => {
+            () = guest.outstays() => {
                 self.counts.silent.add();
                 true
             }
+            () = guest.leave.notified() => !guest.asked.get(),
             () = self.close.notified(), if !last => false,
         };
         if !ended {
@@ -171,9 +205,16 @@
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
+        self.guests.borrow_mut().remove(&number);
         self.end(permits);
     }
 
+    fn next_number(&self) -> u64 {
+        let number = self.next_id.get();
+        self.next_id.set(number + 1);
+        number
+    }
+
     fn end(&self, permits: (Permit, Option<Permit>)) {
         drop(permits);
         self.connections.set(self.connections.get() - 1);
@@ -198,13 +239,14 @@
         let _ = timeout(Duration::from_micros(longest) + DRAIN, all_ended).await;
     }
 
-    async fn handle(&self, request: Request<Incoming>, whole_by: Instant) -> Response<Full<Bytes>> {
+    async fn handle(&self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
         match request.uri().path() {
             "/-/ready" if request.method() == Method::GET => {
                 let ready = !self.draining.get();
+                guest.asks();
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
-            "/api" => self.call(request, whole_by).await.unwrap_or_else(|(status, why)| {
+            "/api" => self.call(request, guest).await.unwrap_or_else(|(status, why)| {
                 self.counts.malformed.add();
                 plain(status, why)
             }),
@@ -215,7 +257,7 @@
     async fn call(
         &self,
         request: Request<Incoming>,
-        whole_by: Instant,
+        guest: &Guest,
     ) -> Result<Response<Full<Bytes>>, (StatusCode, &'static str)> {
         let came = Instant::now();
         let bad = |why| (StatusCode::BAD_REQUEST, why);
@@ -250,12 +292,14 @@
         if body.size_hint().lower() > LONGEST_BODY as u64 {
             return Err(too_long);
         }
+        let whole_by = if guest.asked.get() { came } else { guest.opened } + WHOLE_TIMEOUT;
         let body = match timeout_at(whole_by, Limited::new(body, LONGEST_BODY).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_long),
             Ok(Err(_)) => return Err(bad("the body is broken\n")),
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
         };
+        guest.asks();
         // The client's clock runs from its send, which a request that came in one piece was read
         // soon after; one whose body took long has used up more of its time.
         let deadline = came + patience.saturating_sub(MARGIN);
@@ -271,8 +315,7 @@
         };
         let mut headers = head.headers;
         drop_hop_headers(&mut headers);
-        let id = self.next_id.get();
-        self.next_id.set(id + 1);
+        let id = self.next_number();
         let (reply, answer) = oneshot::channel();
         let arrival = Arrival {
             id,
@@ -309,6 +352,49 @@
     }
 }
 
+/// What a client's connection has done.
+struct Guest {
+    opened: Instant,
+    /// A whole request has come on it.
+    asked: Cell<bool>,
+    /// Since when no whole request has been open on it; `None` while one is.
+    idle_since: Cell<Option<Instant>>,
+    /// Told when its place is wanted.
+    leave: Notify,
+}
+
+impl Guest {
+    fn new() -> Self {
+        let now = Instant::now();
+        Guest { opened: now, asked: Cell::new(false), idle_since: Cell::new(Some(now)), leave: Notify::new() }
+    }
+
+    /// A whole request has come.
+    fn asks(&self) {
+        self.asked.set(true);
+        self.idle_since.set(None);
+    }
+
+    /// The request has its answer.
+    fn idle(&self) {
+        self.idle_since.set(Some(Instant::now()));
+    }
+
+    /// Whether its place may be had for another.
+    fn may_go(&self) -> bool {
+        let least = if self.asked.get() { IDLE } else { QUIET };
+        self.idle_since.get().is_some_and(|since| since.elapsed() >= least)
+    }
+
+    /// Ends once the first request has been owed for too long.
+    async fn outstays(&self) {
+        sleep_until(self.opened + WHOLE_TIMEOUT).await;
+        if self.asked.get() {
+            std::future::pending().await
+        }
+    }
+}
+
 /// A request that waits for its answer. The connection's future drops it when the client goes.
 struct Waiting<'a> {
     clients: &'a Clients,
@@ -330,17 +416,6 @@
     }
 }
 
-/// Ends when a connection has been open for long without the head of a request.
-async fn silent(opened: &Cell<Option<Instant>>) {
-    if let Some(since) = opened.get() {
-        sleep_until(since + WHOLE_TIMEOUT).await;
-        if opened.get().is_some() {
-            return;
-        }
-    }
-    std::future::pending().await
-}
-
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
--- a/src/bin/woodgap/counts.rs
+++ b/src/bin/woodgap/counts.rs
@@ -40,7 +40,7 @@
     pub gone: Count,
     /// Answers in the 400s: requests that never reached the module.
     pub malformed: Count,
-    /// Connections closed for want of a first request.
+    /// Connections closed for want of a whole first request.
     pub silent: Count,
     /// Connections to servers that were tried.
     pub dialled: Count,
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -33,8 +33,8 @@
 use task::Budget;
 
 /// Descriptors that are not sockets of clients or servers: the standard ones, the runtime's, the
-/// listener, discovery, the peers' socket, and some that the system has not closed yet.
-const RESERVE: usize = 64;
+/// listener, discovery and the peers' socket, about ten, and some that the system has not closed yet.
+const RESERVE: usize = 24;
 /// Connections past the budget that are told so at a time.
 const OVERFLOW: usize = 32;
 
@@ -48,8 +48,10 @@
         None => None,
     };
     let (tx, rx) = mpsc::unbounded_channel();
-    // Each request held needs a socket of its client's and one of a server's.
+    // Clients use up to a third of the descriptors for their requests, and each of these needs a
+    // server's socket too. The rest is for peers that only connect, so that they keep no client out.
     let all = config.sockets.saturating_sub(RESERVE + OVERFLOW).max(2);
+    let places = all.saturating_sub(config.sockets / 3).max(1);
     let counts = Rc::new(Counts::default());
     let servers = Servers::new(config.figures.clone(), Budget::new(all), counts.clone());
     let mut driver = Driver::new(&config, servers.clone(), peers.clone(), counts.clone(), tx.clone());
@@ -59,7 +61,7 @@
         config.names,
         config.figures.open_cap,
         servers,
-        (Budget::new(all / 2), Budget::new(OVERFLOW)),
+        (Budget::new(places), Budget::new(OVERFLOW)),
         counts,
         tx.clone(),
     );
