--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,8 +20,12 @@
 /// The least part of a turn that a small server gets.
 const LEAST_TURN: f64 = 1.0 / 64.0;
 
-/// How often the servers are looked over.
+/// How often the servers are looked over, at most, and where requests want faster answers than that
+/// allows, a part of the shortest aim. All spans below are for a sweep of this length and follow it:
+/// traffic that is answered in a quarter of the time comes and recovers in a quarter of the time.
 const SWEEP: Micros = 100_000;
+const SWEEP_LEAST: Micros = 10_000;
+const SWEEPS_AN_AIM: Micros = 4;
 /// The most owners that one walk looks at, and the most slots it passes on its way.
 const WALK_OWNERS: usize = 64;
 const WALK_SLOTS: usize = 1_024;
@@ -257,6 +261,8 @@
     settings: Settings,
     rng: Rng,
     now: Micros,
+    /// Time between two look-overs.
+    sweep: Micros,
     servers: Vec<Server>,
     index: HashMap<ServerId, usize>,
     table: Vec<u32>,
@@ -280,7 +286,9 @@
     /// A node at its start. `seed` feeds its random choices and nothing that nodes agree on.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let norm = |c: &Class| Norm { mean: c.aim as f64 / 4.0, rates: [0.0; 2] };
+        let shortest = settings.classes.iter().map(|c| c.aim).min().unwrap_or(Micros::MAX);
         Balancer {
+            sweep: (shortest / SWEEPS_AN_AIM).clamp(SWEEP_LEAST, SWEEP),
             tenant_rates: vec![0.0; settings.tenants.len()],
             rng: Rng::with_seed(seed),
             now: 0,
@@ -339,7 +347,7 @@
 
     fn on_sync(&mut self, kind: SyncKind, members: Vec<Member>, out: &mut Vec<Action>) {
         if kind == SyncKind::Cached && self.servers.is_empty() {
-            out.push(Action::SetTimer { delay: self.jitter(SWEEP), timer: TIMER_SWEEP });
+            out.push(Action::SetTimer { delay: self.jitter(self.sweep), timer: TIMER_SWEEP });
             if self.settings.discovery == Discovery::Ask {
                 // Nodes that start in step must not all call discovery at once.
                 let spread = (u64::from(self.settings.group_size) * 50_000).min(self.settings.ask_within / 3);
@@ -613,7 +621,8 @@
             // Where a late answer earns nothing, a repeat comes too late to be worth anything.
             let class = &self.settings.classes[self.requests[&id].class];
             let gone = class.late_share == 0.0 && self.settings.max_retry_after >= class.deadline;
-            let advice = if gone { class.deadline } else { COME_BACK.min(self.settings.max_retry_after) };
+            let advice =
+                if gone { class.deadline } else { self.paced(COME_BACK).min(self.settings.max_retry_after) };
             let retry_after = if self.settings.retry_after { advice } else { 0 };
             out.push(Action::Refuse { id, retry_after });
         } else {
@@ -659,7 +668,7 @@
     /// must come by in time to answer those that may not.
     fn worth_holding(&self, pending: &Pending, wait: Micros) -> bool {
         let answer = self.now + wait + self.norms[pending.class].mean as Micros;
-        answer < pending.aim && self.now + 2 * SWEEP < pending.deadline
+        answer < pending.aim && self.now + 2 * self.sweep < pending.deadline
     }
 
     /// Lets the first request of a key go if the key does not rest; forgets an idle key.
@@ -848,6 +857,7 @@
     /// Takes a server out until a trial or probe succeeds.
     fn eject(&mut self, i: usize) {
         let span = (EJECTION << self.servers[i].ejections.min(6)).min(EJECTION_LONGEST);
+        let span = self.paced(span);
         let until = self.now + self.jitter(span);
         let server = &mut self.servers[i];
         (server.ejected, server.trial) = (Some(until), false);
@@ -865,15 +875,16 @@
     // The regular look-over.
 
     fn sweep(&mut self, out: &mut Vec<Action>) {
-        out.push(Action::SetTimer { delay: SWEEP, timer: TIMER_SWEEP });
+        out.push(Action::SetTimer { delay: self.sweep, timer: TIMER_SWEEP });
         self.shed_held(out);
         let slowest = self.norms.iter().map(|n| n.mean).fold(0.0, f64::max);
-        let silence = ((SILENCE * slowest) as Micros).max(SILENCE_LEAST);
+        let silence = ((SILENCE * slowest) as Micros).max(self.paced(SILENCE_LEAST));
         let (mut ejected, mut total, mut able) = (0.0, 0.0, 0.0);
         let pace = COLD_CARE * self.settings.fall_multiple * self.mood.served
             / self.window
             / self.mood.able.max(1.0)
-            / 10.0;
+            * self.sweep as f64
+            / 1e6;
         for i in 0..self.servers.len() {
             let server = &self.servers[i];
             if !server.ready {
@@ -913,7 +924,7 @@
         self.mood.taken *= HOT_KEEP;
         self.mood.sends *= HOT_KEEP;
         self.mood.served *= HOT_KEEP;
-        self.window = self.window * HOT_KEEP + SWEEP as f64 / 1e6;
+        self.window = self.window * HOT_KEEP + self.sweep as f64 / 1e6;
         for hot in &mut self.hot {
             hot.count *= HOT_KEEP;
             hot.error *= HOT_KEEP;
@@ -963,6 +974,11 @@
             >= self.mood.limit * (1.0 - reserve) * (1.0 + spread * (0.5 - slot_level(slot)))
     }
 
+    /// A span at this deployment's pace.
+    fn paced(&self, span: Micros) -> Micros {
+        span * self.sweep / SWEEP
+    }
+
     /// Half to one and a half times the span, so that nodes do not act in step.
     fn jitter(&mut self, span: Micros) -> Micros {
         span / 2 + self.rng.u64(0..=span)
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -280,6 +280,30 @@
     assert_eq!(sent_on, 30);
 }
 
+// Guards against refusing for four times as long as needed where all goes four times as fast.
+#[test]
+fn the_limit_recovers_at_the_pace_of_the_aims() {
+    let sent_on = |aim: Micros, span: Micros| {
+        let mut settings = settings();
+        settings.classes.iter_mut().for_each(|class| class.aim = aim);
+        let mut node = Node::new(settings, (0..10).map(member).collect());
+        answer(&mut node, 0, 200, Outcome::Ok, 2 * aim);
+        let end = node.now + span;
+        while node.now < end {
+            let actions = node.event(Event::Timer(TimerId(1)));
+            let delay = actions.iter().find_map(|action| match action {
+                Action::SetTimer { delay, timer: TimerId(1) } => Some(*delay),
+                _ => None,
+            });
+            node.now += delay.expect("the next look-over");
+        }
+        (1000..1400).filter(|&n| sent(&node.ask(n, UNSAFE, n)).is_some()).count()
+    };
+    let (quick, slow) = (sent_on(100_000, 3 * SECOND), sent_on(400_000, 12 * SECOND));
+    assert_eq!(quick, slow);
+    assert!(sent_on(400_000, 3 * SECOND) < quick, "{quick}");
+}
+
 // Guards against ejecting crowded servers: one that holds requests of ours and makes no further
 // connection has no room for it. Ejecting all such servers moves the crowd to the next ones.
 #[test]
