Keep a server's idle connections after a time-out if it answers others

Every time-out and every cancelled attempt closed all idle connections of its server, in case its machine was gone. New ones cost the server work and the request a handshake. They are now closed only where the server has answered nobody since the attempt was sent.

--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -396,10 +396,10 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(out) = held.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let spent = out.sent.elapsed().as_micros() as Micros;
-        let (server, done) = (out.server, held.reply.is_none());
+        let (server, sent, done) = (out.server, out.sent, held.reply.is_none());
         drop(out);
-        // It may be silent because its machine is gone: see `Servers::attempt`.
-        self.servers.close_idle(server);
+        // It may be silent because its machine is gone.
+        self.servers.doubt(server, sent);
         let (id_, outcome) = (request_id(id), Outcome::Cancelled);
         self.events.push_back(Event::Closed(Closed {
             id: id_,
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -70,6 +70,8 @@
     idle: Vec<Link>,
     /// Since when it wants nothing new.
     barred: Option<Instant>,
+    /// When it last answered.
+    heard: Option<Instant>,
 }
 
 /// All servers on the list.
@@ -136,6 +138,7 @@
                 epoch: self.next_epoch(),
                 idle: Vec::new(),
                 barred: None,
+                heard: None,
             });
             // A restarted process, or one that moved, knows nothing of the old connections.
             if (known.addr, known.since_ms) != (entry.addr, entry.up_since_ms) {
@@ -182,6 +185,23 @@
         }
     }
 
+    /// Closes the idle connections to a server that has answered nobody since an attempt that got no
+    /// answer was sent: its machine may be gone, and they would swallow what is sent next, where a new
+    /// one would tell. One that answers others is only slow, and new connections would cost it more.
+    pub fn doubt(&self, server: ServerId, sent: Instant) {
+        if let Some(entry) = self.entries.borrow_mut().get_mut(&server) {
+            if entry.heard.is_none_or(|heard| heard < sent) {
+                entry.idle.clear();
+            }
+        }
+    }
+
+    fn hear(&self, server: ServerId) {
+        if let Some(entry) = self.entries.borrow_mut().get_mut(&server) {
+            entry.heard = Some(Instant::now());
+        }
+    }
+
     /// Closes what has been idle for long or was closed by its server. To be called now and then.
     pub fn tidy(&self) {
         let longest = self.figures.keepalive.mul_f64(REUSE);
@@ -254,6 +274,7 @@
 
     /// Sends a request and tells how it ended. Dropped, it closes its connection.
     pub async fn attempt(&self, server: ServerId, call: &Call, until: Instant) -> Ended {
+        let sent = Instant::now();
         loop {
             let Some((addr, epoch)) = self.address(server) else { return Outcome::ConnectFailed.into() };
             let (mut link, reused) = match self.idle_link(server) {
@@ -283,16 +304,15 @@
             }
             let exchange = exchange(&mut link.sender, request(call, addr, until));
             match timeout_at(until, exchange).await {
-                // A server that answered nothing may be gone: its idle connections would swallow
-                // what is sent next, where a new one would tell.
                 Err(_) => {
-                    self.close_idle(server);
+                    self.doubt(server, sent);
                     return Outcome::Timeout.into();
                 }
                 Ok(Exchange::Unsent) if reused => continue,
                 Ok(Exchange::Unsent) => return Outcome::ConnectFailed.into(),
                 Ok(Exchange::Broken) => return Outcome::Reset.into(),
                 Ok(Exchange::Answer(status, headers, body)) => {
+                    self.hear(server);
                     self.keep(server, link);
                     let load = load(&headers, &self.figures.report);
                     let outcome = outcome(status, &headers);
@@ -400,7 +420,8 @@
         Call { method: Method::POST, target: Uri::from_static("/api"), headers, body }
     }
 
-    /// A server that answers each request with its name, and sends none if that is empty.
+    /// A server that answers each request with its name, and none that asks for `/slow` or if the name
+    /// is empty.
     async fn named(name: &'static str) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
@@ -412,7 +433,8 @@
                     while stream.read(&mut buffer).await.is_ok_and(|n| n > 0) {
                         let length = name.len();
                         let reply = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{name}");
-                        if !name.is_empty() && stream.write_all(reply.as_bytes()).await.is_err() {
+                        let answers = !name.is_empty() && !buffer.starts_with(b"POST /slow");
+                        if answers && stream.write_all(reply.as_bytes()).await.is_err() {
                             return;
                         }
                     }
@@ -465,6 +487,23 @@
         LocalSet::new().run_until(run).await;
     }
 
+    // New connections cost a server work: one that answers others meanwhile is slow, not gone.
+    #[tokio::test]
+    async fn a_timeout_keeps_the_connections_of_a_server_that_answers_others() {
+        let run = async {
+            let servers = servers(8);
+            let addr = named("x").await;
+            let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
+            let slow = Call { target: Uri::from_static("/slow"), ..call() };
+            let (call, until) = (call(), Instant::now() + Duration::from_millis(200));
+            let (slow, quick) =
+                tokio::join!(servers.attempt(server, &slow, until), servers.attempt(server, &call, soon()));
+            assert_eq!((slow.outcome, quick.outcome), (Outcome::Timeout, Outcome::Ok));
+            assert!(servers.idle_link(server).is_some());
+        };
+        LocalSet::new().run_until(run).await;
+    }
+
     // Rule 3: what waited for its connection must not be written once the server drains for long.
     #[tokio::test]
     async fn nothing_is_written_to_a_server_that_drains_for_long() {
