Tell a request that could not be written whole from one that was reset

PROTOCOL counts a connection that breaks before the request's last byte is written as one that could not connect: it never ran. The node called every break after the first byte a reset, so an unsafe request failed although it could go out again. The socket now remembers a failed write; such a request is dialled once more and then counts as unconnected.

--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -12,6 +12,7 @@
 mod log;
 mod peers;
 mod servers;
+mod stream;
 mod task;
 
 use std::error::Error;
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -21,6 +21,7 @@
 use crate::config::Figures;
 use crate::counts::Counts;
 use crate::discovery::{server_number, List};
+use crate::stream::Stream;
 use crate::task::{AbortOnDrop, Budget, Permit};
 
 /// The longest body of a request or an answer.
@@ -54,6 +55,8 @@
 /// A connection to a server. Closed when dropped.
 struct Link {
     sender: SendRequest<Full<Bytes>>,
+    /// Set once a write has failed.
+    unwritten: Rc<Cell<bool>>,
     _connection: AbortOnDrop,
     /// The server's epoch when it was opened.
     epoch: u64,
@@ -87,7 +90,7 @@
 
 /// What a request on a connection came to.
 enum Exchange {
-    /// Nothing of it was written.
+    /// Its last byte was never written.
     Unsent,
     /// The connection broke; it may have run.
     Broken,
@@ -257,6 +260,7 @@
         self.counts.dialled.add();
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
+        let (stream, unwritten) = Stream::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_headers(64)
             .max_buf_size(LONGEST_BODY)
@@ -267,7 +271,7 @@
             let _permit = permit;
             let _ = connection.await;
         });
-        Ok(Link { sender, _connection: connection, epoch, idle_since: Instant::now() })
+        Ok(Link { sender, unwritten, _connection: connection, epoch, idle_since: Instant::now() })
     }
 
     // Attempts.
@@ -275,6 +279,7 @@
     /// Sends a request and tells how it ended. Dropped, it closes its connection.
     pub async fn attempt(&self, server: ServerId, call: &Call, until: Instant) -> Ended {
         let sent = Instant::now();
+        let mut redialled = false;
         loop {
             let Some((addr, epoch)) = self.address(server) else { return Outcome::ConnectFailed.into() };
             let (mut link, reused) = match self.idle_link(server) {
@@ -302,13 +307,14 @@
                     return Outcome::ConnectFailed.into();
                 }
             }
-            let exchange = exchange(&mut link.sender, request(call, addr, until));
+            let exchange = exchange(&mut link, request(call, addr, until));
             match timeout_at(until, exchange).await {
                 Err(_) => {
                     self.doubt(server, sent);
                     return Outcome::Timeout.into();
                 }
-                Ok(Exchange::Unsent) if reused => continue,
+                // A new connection may break by chance; a second one that does tells of the server.
+                Ok(Exchange::Unsent) if reused || !std::mem::replace(&mut redialled, true) => continue,
                 Ok(Exchange::Unsent) => return Outcome::ConnectFailed.into(),
                 Ok(Exchange::Broken) => return Outcome::Reset.into(),
                 Ok(Exchange::Answer(status, headers, body)) => {
@@ -353,11 +359,11 @@
     request
 }
 
-async fn exchange(sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) -> Exchange {
-    let response = match sender.try_send_request(request).await {
+async fn exchange(link: &mut Link, request: Request<Full<Bytes>>) -> Exchange {
+    let response = match link.sender.try_send_request(request).await {
         Ok(response) => response,
-        // Only a message that comes back is certain not to have gone out.
-        Err(error) if error.message().is_some() => return Exchange::Unsent,
+        // Only a message that comes back, or whose writing failed, is certain not to have gone out whole.
+        Err(error) if error.message().is_some() || link.unwritten.get() => return Exchange::Unsent,
         Err(_) => return Exchange::Broken,
     };
     let (head, body) = response.into_parts();
@@ -504,6 +510,26 @@
         LocalSet::new().run_until(run).await;
     }
 
+    // A request whose last byte was not written has not run: even an unsafe one goes out again.
+    #[tokio::test]
+    async fn a_request_that_cannot_be_written_was_not_sent() {
+        let run = async {
+            let servers = servers(8);
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let addr = listener.local_addr().unwrap();
+            let mut link = servers.dial(addr, 0).await.unwrap();
+            // Reset before the connection's task has had a turn to notice it.
+            let (stream, _) = listener.accept().unwrap();
+            stream.set_nonblocking(true).unwrap();
+            let stream = TcpStream::from_std(stream).unwrap();
+            stream.set_zero_linger().unwrap();
+            drop(stream);
+            let exchange = exchange(&mut link, request(&call(), addr, soon())).await;
+            assert!(matches!(exchange, Exchange::Unsent));
+        };
+        LocalSet::new().run_until(run).await;
+    }
+
     // Rule 3: what waited for its connection must not be written once the server drains for long.
     #[tokio::test]
     async fn nothing_is_written_to_a_server_that_drains_for_long() {
