Bar a class from a server that fails it while it serves the others

Errors by server and class showed four of the eight servers failing 70 to 82 % of redeem and nothing else. Redeem is a fifth of the traffic, so the failing part of all attempts stayed below what ejects, and a probe answers 200.

The module now keeps the failing part by class as well. A server that fails a class is passed by for that class alone, as an ejected one is for all, until a trial of the class succeeds; where every owner is barred the bars are ignored, as moving would help nobody.

Ruled out: shedding (no refusals), connections (no resets, no dials).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,6 +59,8 @@
 const FALLBACK_SHARE: f64 = 0.5;
 /// Share of a server just back from ejection.
 const BACK_SHARE: f64 = 0.3;
+/// What the latest attempt weighs in the part of a server's attempts that failed.
+const FAILING_WEIGHT: f64 = 0.15;
 /// A server is ejected when this part of its latest attempts failed, and this many times the
 /// fleet's usual part. Lower ejects sooner, and more often by chance.
 const FAILING: f64 = 0.4;
@@ -164,6 +166,8 @@
     answers: u32,
     /// Part of its latest attempts that ended in an error, a reset or a time-out.
     failing: f64,
+    /// The same by class.
+    bars: Vec<Bar>,
     ejections: u32,
     /// While ejected: when it may be tried again.
     ejected: Option<Micros>,
@@ -173,6 +177,19 @@
     budget: f64,
 }
 
+/// How a server does with one class: it may fail that one and serve the others well.
+#[derive(Clone, Default)]
+struct Bar {
+    /// Part of its latest attempts that ended in an error.
+    failing: f64,
+    /// While the class is barred: when it may be tried again.
+    until: Option<Micros>,
+    /// A trial is out.
+    trial: bool,
+    /// How often it was barred in a row.
+    times: u32,
+}
+
 /// What became of an attempt.
 #[derive(Clone, Copy, PartialEq)]
 enum Fate {
@@ -393,7 +410,7 @@
             if ready {
                 self.stale_table = true;
                 self.index.insert(member.server, self.servers.len());
-                self.servers.push(Server::new(member, budget));
+                self.servers.push(Server::new(member, budget, self.settings.classes.len()));
             }
             return;
         };
@@ -402,7 +419,8 @@
         if member.since != old.member.since {
             // A restarted process owes nothing to what the old one did.
             let inflight = old.inflight;
-            *old = Server { inflight, quiet_since: self.now, ..Server::new(member, budget) };
+            let new = Server::new(member, budget, self.settings.classes.len());
+            *old = Server { inflight, quiet_since: self.now, ..new };
         } else {
             old.member = member;
         }
@@ -460,9 +478,14 @@
 
     /// The walk. From the key's slot on, the first owner that carries the slot it is met on and
     /// is not overfull; for a key hotter than one owner, one of just as many successive owners
-    /// as carry it. Where none qualifies, the first warm one that may be used at all.
+    /// as carry it. Where none qualifies, the first warm one that may be used at all. An owner that
+    /// fails the request's class does not qualify, unless all fail it.
     fn route(&mut self, id: RequestId) -> Option<usize> {
         self.refresh_table();
+        self.walk(id, true).or_else(|| self.walk(id, false))
+    }
+
+    fn walk(&mut self, id: RequestId, heed_bars: bool) -> Option<usize> {
         let pending = &self.requests[&id];
         let mut need = self.key_share(pending.key);
         let repeatable = self.settings.classes[pending.class].semantics != Semantics::Unsafe;
@@ -485,6 +508,9 @@
             if seen.len() > WALK_OWNERS {
                 break;
             }
+            if heed_bars && server.bars[pending.class].holds(self.now) {
+                continue;
+            }
             let due = server.ejected.is_some_and(|until| self.now >= until && !server.trial);
             if due && repeatable && !self.settings.may_probe && chosen.is_empty() {
                 return Some(owner as usize);
@@ -599,11 +625,14 @@
         let Some(target) = target else { return self.conclude(id, out) };
         let now = self.now;
         let limit = self.attempt_limit(&self.requests[&id]);
+        let class = self.requests[&id].class;
         let server = &mut self.servers[target];
         if server.inflight == 0 {
             server.quiet_since = now;
         }
         server.trial |= server.ejected.is_some();
+        let bar = &mut server.bars[class];
+        bar.trial |= bar.until.is_some();
         server.budget -= 1.0;
         server.inflight += 1;
         self.inflight += 1;
@@ -788,6 +817,7 @@
         self.inflight = self.inflight.saturating_sub(1);
         server.inflight = server.inflight.saturating_sub(1);
         server.trial = false;
+        server.bars[class].trial = false;
         if matches!(closed.outcome, Outcome::Ok | Outcome::Full | Outcome::Error) {
             server.quiet_since = self.now;
         }
@@ -834,12 +864,16 @@
         let failed = matches!(closed.outcome, Outcome::Error | Outcome::Reset | Outcome::Timeout);
         if failed || answered {
             let failed = f64::from(u8::from(failed));
-            server.failing += 0.15 * (failed - server.failing);
+            server.failing += FAILING_WEIGHT * (failed - server.failing);
             self.mood.failing += 0.01 * (failed - self.mood.failing);
         }
         let dead = closed.outcome == Outcome::ConnectFailed && !full;
         let stands_out = server.failing > FAILING.max(FAILING_MORE * self.mood.failing);
-        if dead || (failed && (stands_out || server.ejected.is_some())) {
+        let ejected = server.ejected.is_some();
+        if answered || closed.outcome == Outcome::Error {
+            self.judge(i, class, !answered);
+        }
+        if dead || (failed && (stands_out || ejected)) {
             self.eject(i);
         }
         if (late && self.mood.late > LATE_PART) || (full && closed.attempt > 0) {
@@ -854,6 +888,25 @@
         self.mood.limit = (self.mood.limit.min(held) * keep).max(LEAST_LIMIT);
     }
 
+    /// Bars a class from a server that keeps failing it: the others may serve it, and the server the
+    /// other classes, so that neither their answers nor a probe tell.
+    fn judge(&mut self, i: usize, class: usize, failed: bool) {
+        let jitter = self.rng.f64() + 0.5;
+        let (longest, pause) = (self.paced(EJECTION_LONGEST), self.paced(EJECTION));
+        let bar = &mut self.servers[i].bars[class];
+        bar.failing += FAILING_WEIGHT * (f64::from(u8::from(failed)) - bar.failing);
+        if failed && (bar.failing > FAILING || bar.until.is_some()) {
+            let span = (pause << bar.times.min(6)).min(longest);
+            bar.until = Some(self.now + (span as f64 * jitter) as Micros);
+            bar.times += 1;
+        } else if !failed && bar.until.take().is_some() {
+            // One success proves little: the next failure bars it again.
+            bar.failing = FAILING;
+        } else if bar.failing < FAILING / 4.0 {
+            bar.times = 0;
+        }
+    }
+
     /// Takes a server out until a trial or probe succeeds.
     fn eject(&mut self, i: usize) {
         let span = (EJECTION << self.servers[i].ejections.min(6)).min(EJECTION_LONGEST);
@@ -985,8 +1038,14 @@
     }
 }
 
+impl Bar {
+    fn holds(&self, now: Micros) -> bool {
+        self.until.is_some_and(|until| now < until || self.trial)
+    }
+}
+
 impl Server {
-    fn new(member: Member, budget: f64) -> Self {
+    fn new(member: Member, budget: f64, classes: usize) -> Self {
         Server {
             ready: member.state == ServerState::InService,
             member,
@@ -996,6 +1055,7 @@
             ratio: 1.0,
             answers: 0,
             failing: 0.0,
+            bars: vec![Bar::default(); classes],
             ejections: 0,
             ejected: None,
             trial: false,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -150,6 +150,55 @@
     assert_eq!(node.place(5, UNSAFE, 5), silent);
 }
 
+/// Asks with each key for a class that the broken servers fail and, three times, for one that they
+/// serve; the requests of each that went to the first server.
+fn fail_one_class(node: &mut Node, base: u64, keys: &[u64], first: ServerId, broken: &[u32]) -> [u32; 2] {
+    let mut counts = [0; 2];
+    for (i, &key) in keys.iter().enumerate() {
+        for (turn, class) in [UNSAFE, KEYED_ALL, KEYED_ALL, KEYED_ALL].into_iter().enumerate() {
+            let n = base + 4 * i as u64 + turn as u64;
+            node.now += 1_000;
+            let server = node.place(n, class, key);
+            counts[usize::from(class == KEYED_ALL)] += u32::from(server == first);
+            let fails = class == UNSAFE && broken.contains(&server.0);
+            node.close(n, 0, server, if fails { Outcome::Error } else { Outcome::Ok });
+        }
+    }
+    counts
+}
+
+// Guards against failing one class for as long as a server serves the others: neither the part of all
+// its attempts that fails nor a probe tells.
+#[test]
+fn a_class_that_a_server_fails_goes_to_others_until_a_trial_succeeds() {
+    let mut node = Node::fleet(4);
+    let bad = ServerId(2);
+    let mut keys = Vec::new();
+    for key in 0..800 {
+        let server = node.place(key, KEYED_ALL, key);
+        node.close(key, 0, server, Outcome::Ok);
+        keys.extend((server == bad).then_some(key));
+    }
+    let asked = keys.len() as u32;
+    assert!(asked > 100, "{asked}");
+    let [failed, others] = fail_one_class(&mut node, 1_000, &keys, bad, &[bad.0]);
+    assert!(failed < 20, "{failed} of {asked} sent to fail");
+    assert!(others > 2 * asked, "the other class stays: {others} of {}", 3 * asked);
+    // Once it serves the class again, a trial finds out.
+    node.pass(10 * SECOND);
+    let [again, _] = fail_one_class(&mut node, 5_000, &keys, bad, &[]);
+    assert!(again > asked / 2, "{again} of {asked} after it has recovered");
+}
+
+// Where every server fails a class, moving it helps nobody, and it is still sent.
+#[test]
+fn a_class_that_all_servers_fail_is_still_sent() {
+    let mut node = Node::fleet(4);
+    let keys: Vec<u64> = (0..400).collect();
+    let [sent, _] = fail_one_class(&mut node, 0, &keys, ServerId(2), &[0, 1, 2, 3]);
+    assert!(sent > 20, "{sent} of 400");
+}
+
 #[test]
 fn a_hot_key_is_spread_over_several_owners() {
     let mut node = Node::fleet(20);
