Hold down what is sent at twice the expected time, and count attempts still out

To blame: observe and hold_down (src/brain.rs). The only sign of too much work was an answer past its aim, when the jam is there; an unsafe attempt tells nothing for its whole deadline; and a time-out of a server that gave no word since it was sent counted as one that hangs, which from a node with one attempt out to each server is every time-out.

Now the mean of the latest answer times against the expected ones holds down the limit past 2, an attempt out for 2.5 times the expected time counts before it ends, the norms stand nearly still meanwhile, and only a server that leaves several attempts without a word is taken to hang.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,6 +48,10 @@
 /// With no more than this part of the fleet ejected, the others have room for its work.
 const FEW_OUT: f64 = 0.2;
 const LEAST_LIMIT: f64 = 0.5;
+/// Answers that take this multiple of the expected time, on the mean of the latest, are a sign too.
+const STRAIN: f64 = 2.0;
+/// An attempt that is out for this multiple of the expected time counts before it ends.
+const OVERDUE: f64 = 2.5;
 
 /// Answers that the guess at a server's pace begins with, from its kind, and a kind's, from all.
 const GUESS: f64 = 3.0;
@@ -210,6 +214,9 @@
     member: Member,
     sent: Micros,
     fate: Fate,
+    /// The answer time expected of it, and whether it has counted as overdue.
+    expected: f64,
+    overdue: bool,
 }
 
 struct Pending {
@@ -280,6 +287,8 @@
 struct Mood {
     /// Part of the latest answers that came late or not at all.
     late: f64,
+    /// Answer times against the expected ones, over the latest answers.
+    strain: f64,
     /// Part of the latest answered or failed attempts that failed.
     failing: f64,
     /// Part of the latest attempts that got no connection.
@@ -356,7 +365,7 @@
             hot: Vec::new(),
             window: 1.0,
             retries: RETRY_BURST,
-            mood: Mood { limit: f64::INFINITY, ..Mood::default() },
+            mood: Mood { limit: f64::INFINITY, strain: 1.0, ..Mood::default() },
             subscribed: false,
             refusals: 0,
             settings,
@@ -382,8 +391,8 @@
     /// What governs the decisions at present, for the host's log: the servers named are those that
     /// do not carry all their slots.
     pub fn mood(&self) -> String {
-        let Mood { limit, late, failing, ejected, .. } = self.mood;
-        let mut text = format!("in flight {} of {limit:.1}, ", self.inflight);
+        let Mood { limit, strain, late, failing, ejected, .. } = self.mood;
+        let mut text = format!("in flight {} of {limit:.1}, strain {strain:.2}, ", self.inflight);
         text += &format!("late {late:.2}, failing {failing:.2}, ejected {ejected:.2}");
         for server in self.servers.iter().filter(|s| s.ready && self.share(s) < 1.0) {
             let Server { inflight, .. } = server;
@@ -522,6 +531,7 @@
         server.pace.add(ratio);
         if !hung {
             self.kinds.entry(server.member.kind).or_default().add(ratio);
+            self.mood.strain += 0.1 * (ratio - self.mood.strain);
             let kinds = self.kinds.values().map(|kind| kind.mean(1.0));
             self.quickest = kinds.fold(f64::INFINITY, f64::min);
         }
@@ -530,7 +540,9 @@
     fn learn(&mut self, class: usize, cost: Option<Micros>, spent: f64) {
         let norm = &mut self.norms[class];
         norm.answers += 1.0;
-        let weight = (1.0 / norm.answers).max(0.02);
+        // What jams makes slow is no norm.
+        let least = if self.mood.strain > 1.5 { 0.002 } else { 0.02 };
+        let weight = (1.0 / norm.answers).max(least);
         let cost = cost.map_or(norm.cost, |cost| cost as f64);
         let (more_time, more_cost) = (spent - norm.mean, cost - norm.cost);
         norm.mean += weight * more_time;
@@ -712,8 +724,9 @@
         self.mood.sends += 1.0;
         let member = server.member.clone();
         out.push(Action::Send { id, server: member.server, limit });
+        let expected = self.expected(class, self.requests[&id].cost);
         let pending = self.requests.get_mut(&id).expect("held");
-        pending.attempts.push(Attempt { member, sent: now, fate: Fate::Out });
+        pending.attempts.push(Attempt { member, sent: now, fate: Fate::Out, expected, overdue: false });
     }
 
     /// The final answer when nothing more is tried: a refusal where it is lawful.
@@ -952,7 +965,10 @@
         if dead || (failed && (stands_out || ejected)) {
             self.eject(i);
         }
-        if (late && self.mood.late > LATE_PART) || (full && closed.attempt > 0) {
+        if (late && self.mood.late > LATE_PART)
+            || ((answered || timed_out) && self.mood.strain > STRAIN)
+            || (full && closed.attempt > 0)
+        {
             self.hold_down();
         }
     }
@@ -1041,13 +1057,40 @@
             }
         }
         self.mood.able = able;
-        self.mood.limit *= LIMIT_REGAIN;
+        if self.mood.strain <= STRAIN {
+            self.mood.limit *= LIMIT_REGAIN;
+        }
+        self.count_overdue();
         self.mood.usual += 0.1 * (f64::from(self.inflight) - self.mood.usual);
         self.mood.ejected = ejected / total.max(f64::MIN_POSITIVE);
         self.mood.panic = self.mood.ejected > PANIC;
         self.forget();
     }
 
+    /// Attempts that are out for long tell of their servers before they end.
+    fn count_overdue(&mut self) {
+        let mut overdue = Vec::new();
+        for pending in self.requests.values_mut() {
+            for attempt in pending.attempts.iter_mut().filter(|a| a.fate == Fate::Out && !a.overdue) {
+                if ((self.now - attempt.sent) as f64) < OVERDUE * attempt.expected {
+                    continue;
+                }
+                attempt.overdue = true;
+                let Some(&i) = self.index.get(&attempt.member.server) else { continue };
+                let server = &self.servers[i];
+                // Of a server that gives no word, only the first counts against all.
+                let silent = server.inflight > 1 && server.quiet_since < attempt.sent;
+                overdue.push((i, silent && self.mood.ejected <= FEW_OUT));
+            }
+        }
+        for &(i, hung) in &overdue {
+            self.take_pace(i, OVERDUE, hung);
+        }
+        if !overdue.is_empty() && self.mood.strain > STRAIN {
+            self.hold_down();
+        }
+    }
+
     /// Lets the counts of traffic fade.
     fn forget(&mut self) {
         self.mood.taken *= HOT_KEEP;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -647,3 +647,25 @@
     }
     assert!(kept >= 55, "{kept} of 60");
 }
+
+// Guards against learning of a jam when it is over: long before any answer is past its aim, attempts
+// that are out for several times as long as usual hold down what is sent.
+#[test]
+fn attempts_that_stay_out_too_long_hold_down_what_is_sent() {
+    let sent_after = |wait: Micros| {
+        let mut node = Node::fleet(30);
+        for n in 0..100 {
+            let server = node.place(n, UNSAFE, n);
+            node.close_after(n, 0, server, Outcome::Ok, 50_000);
+            node.pass(100_000);
+        }
+        for n in 1_000..1_040 {
+            node.now += 1_000;
+            node.place(n, UNSAFE, n);
+        }
+        node.pass(wait);
+        (2_000..2_040).filter(|&n| sent(&node.ask(n, UNSAFE, n)).is_some()).count()
+    };
+    assert_eq!(sent_after(0), 40);
+    assert!(sent_after(300_000) < 20);
+}
