Set the limit under strain by what is served in the expected time, and let it go in time

Strain is now the part of the latest second's answers past twice the expected time; the limit under it is twice the served work in expected time; it regains faster the less strain.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,14 +42,21 @@
 /// What a sign of too much work takes off the limit, in parts of a second's attempts, and the regain
 /// each sweep. Quicker down or slower up refuses more.
 const LIMIT_CUT: f64 = 0.9;
-const LIMIT_REGAIN: f64 = 1.02;
+const LIMIT_REGAIN: f64 = 0.06;
 /// Fewer late answers than this part are no sign of more work than the fleet can do.
 const LATE_PART: f64 = 0.15;
 /// With no more than this part of the fleet ejected, the others have room for its work.
 const FEW_OUT: f64 = 0.2;
 const LEAST_LIMIT: f64 = 0.5;
-/// Answers that take this multiple of the expected time, on the mean of the latest, are a sign too.
-const STRAIN: f64 = 2.0;
+/// Answers that take twice the expected time are a sign too, where they are this part of the latest.
+const STRAIN: f64 = 0.4;
+const STRAINED: f64 = 2.0;
+/// What a sweep keeps of the counts, and the answers as expected that they begin with.
+const STRAIN_KEEP: f64 = 0.9;
+const STRAIN_GUESS: f64 = 2.0;
+/// Under strain so many times what is served in the expected time is kept in flight.
+const FLOW_ROOM: f64 = 2.0;
+const FLOW_WEIGHT: f64 = 0.07;
 /// An attempt that is out for this multiple of the expected time counts before it ends.
 const OVERDUE: f64 = 2.5;
 
@@ -287,8 +294,11 @@
 struct Mood {
     /// Part of the latest answers that came late or not at all.
     late: f64,
-    /// Answer times against the expected ones, over the latest answers.
+    /// Part of the latest answers that took far longer than expected, wherever they came from, and
+    /// the fading counts of those and of all.
     strain: f64,
+    strained: f64,
+    measured: f64,
     /// Part of the latest answered or failed attempts that failed.
     failing: f64,
     /// Part of the latest attempts that got no connection.
@@ -297,6 +307,10 @@
     limit: f64,
     /// What is in flight, smoothed.
     usual: f64,
+    /// What would be in flight if all that is served were served in the expected time: the expected
+    /// times of the answers since the last sweep, and the same smoothed.
+    answered: f64,
+    flow: f64,
     /// Part of the fleet that is ejected.
     ejected: f64,
     /// So much is ejected that ejections are ignored.
@@ -365,7 +379,7 @@
             hot: Vec::new(),
             window: 1.0,
             retries: RETRY_BURST,
-            mood: Mood { limit: f64::INFINITY, strain: 1.0, ..Mood::default() },
+            mood: Mood { limit: f64::INFINITY, ..Mood::default() },
             subscribed: false,
             refusals: 0,
             settings,
@@ -392,7 +406,10 @@
     /// do not carry all their slots.
     pub fn mood(&self) -> String {
         let Mood { limit, strain, late, failing, ejected, .. } = self.mood;
-        let mut text = format!("in flight {} of {limit:.1}, strain {strain:.2}, ", self.inflight);
+        let mut text = format!(
+            "in flight {} of {limit:.1}, flow {:.1} strain {strain:.2}, ",
+            self.inflight, self.mood.flow
+        );
         text += &format!("late {late:.2}, failing {failing:.2}, ejected {ejected:.2}");
         for server in self.servers.iter().filter(|s| s.ready && self.share(s) < 1.0) {
             let Server { inflight, .. } = server;
@@ -531,7 +548,9 @@
         server.pace.add(ratio);
         if !hung {
             self.kinds.entry(server.member.kind).or_default().add(ratio);
-            self.mood.strain += 0.1 * (ratio - self.mood.strain);
+            let sign = f64::from(u8::from(ratio > STRAINED));
+            self.mood.strained += sign;
+            self.mood.measured += 1.0;
             let kinds = self.kinds.values().map(|kind| kind.mean(1.0));
             self.quickest = kinds.fold(f64::INFINITY, f64::min);
         }
@@ -541,7 +560,7 @@
         let norm = &mut self.norms[class];
         norm.answers += 1.0;
         // What jams makes slow is no norm.
-        let least = if self.mood.strain > 1.5 { 0.002 } else { 0.02 };
+        let least = if self.mood.strain > STRAIN / 2.0 { 0.002 } else { 0.02 };
         let weight = (1.0 / norm.answers).max(least);
         let cost = cost.map_or(norm.cost, |cost| cost as f64);
         let (more_time, more_cost) = (spent - norm.mean, cost - norm.cost);
@@ -931,6 +950,7 @@
         }
         if answered {
             self.mood.served += 1.0;
+            self.mood.answered += expected;
         }
         let server = &mut self.servers[i];
         if full {
@@ -965,10 +985,7 @@
         if dead || (failed && (stands_out || ejected)) {
             self.eject(i);
         }
-        if (late && self.mood.late > LATE_PART)
-            || ((answered || timed_out) && self.mood.strain > STRAIN)
-            || (full && closed.attempt > 0)
-        {
+        if (late && self.mood.late > LATE_PART) || (full && closed.attempt > 0) {
             self.hold_down();
         }
     }
@@ -1057,10 +1074,13 @@
             }
         }
         self.mood.able = able;
-        if self.mood.strain <= STRAIN {
-            self.mood.limit *= LIMIT_REGAIN;
-        }
+        self.mood.limit *= 1.0 + LIMIT_REGAIN * (1.0 - self.mood.strain / STRAIN).max(0.0);
         self.count_overdue();
+        self.mood.strained *= STRAIN_KEEP;
+        self.mood.measured *= STRAIN_KEEP;
+        self.mood.strain = self.mood.strained / (self.mood.measured + STRAIN_GUESS);
+        let flow = std::mem::take(&mut self.mood.answered) / self.sweep as f64;
+        self.mood.flow += FLOW_WEIGHT * (flow - self.mood.flow);
         self.mood.usual += 0.1 * (f64::from(self.inflight) - self.mood.usual);
         self.mood.ejected = ejected / total.max(f64::MIN_POSITIVE);
         self.mood.panic = self.mood.ejected > PANIC;
@@ -1086,8 +1106,8 @@
         for &(i, hung) in &overdue {
             self.take_pace(i, OVERDUE, hung);
         }
-        if !overdue.is_empty() && self.mood.strain > STRAIN {
-            self.hold_down();
+        if self.mood.strain > STRAIN {
+            self.mood.limit = self.mood.limit.min((FLOW_ROOM * self.mood.flow).max(1.0));
         }
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -669,3 +669,20 @@
     assert_eq!(sent_after(0), 40);
     assert!(sent_after(300_000) < 20);
 }
+
+// Guards against a node that sends little staying held down by the few answers it remembers.
+#[test]
+fn a_node_that_sends_little_forgets_a_jam_as_fast_as_others() {
+    let mut node = Node::fleet(30);
+    answer(&mut node, 0, 100, Outcome::Ok, 50_000);
+    node.pass(5 * SECOND);
+    answer(&mut node, 1_000, 20, Outcome::Ok, 450_000);
+    node.pass(SECOND);
+    let mut held = Vec::new();
+    held.extend((2_000..2_020).filter_map(|n| sent(&node.ask(n, UNSAFE, n)).map(|server| (n, server))));
+    assert!(held.len() < 20);
+    held.into_iter().for_each(|(n, server)| drop(node.close_after(n, 0, server, Outcome::Cancelled, 1_000)));
+    node.pass(8 * SECOND);
+    let sent_on = (3_000..3_010).filter(|&n| sent(&node.ask(n, UNSAFE, n)).is_some()).count();
+    assert_eq!(sent_on, 10);
+}
