Pace cold servers by their budget alone: share and budget together starved them

A node's budget fills in some 12 s and then waits 20 s for a request on one of the few slots the share left: harmless with many requests, not here.

To blame: share() in src/brain.rs, which capped a cold server's slots at the same pace as its budget.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -525,7 +525,9 @@
             0.0
         } else {
             let pace = (self.quickest / self.pace(server)).powi(2).clamp(LEAST_SHARE, 1.0);
-            server.share.min(pace).min(warmth * (COLD_CARE * self.settings.fall_multiple).max(1.0))
+            // The budget alone holds a cold server to its pace: with a share as low besides, a node that
+            // has few requests would hardly ever have one for it when it may send one.
+            server.share.min(pace)
         }
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -686,3 +686,26 @@
     let sent_on = (3_000..3_010).filter(|&n| sent(&node.ask(n, UNSAFE, n)).is_some()).count();
     assert_eq!(sent_on, 10);
 }
+
+// Guards against cold servers that hardly warm: each node of a large fleet may send one little and
+// has few requests to choose from.
+#[test]
+fn thin_traffic_uses_the_budget_of_a_cold_server() {
+    let mut sent_to = 0;
+    for seed in 0..30 {
+        let settings = Settings { ramp_time: 100 * SECOND, ..settings() };
+        let mut node = Node::new(settings.clone(), vec![]);
+        node.balancer = Balancer::new(settings, seed);
+        node.sync(SyncKind::Cached, (0..20).map(member).collect());
+        for n in 0..400 {
+            if n == 100 {
+                node.sync(SyncKind::Delta, vec![Member { since: node.now, ..member(7) }]);
+            }
+            let server = node.place(n, UNSAFE, n);
+            node.close(n, 0, server, Outcome::Ok);
+            node.pass(100_000);
+            sent_to += u32::from(n > 100 && server == ServerId(7));
+        }
+    }
+    assert!(sent_to > 120, "{sent_to}");
+}
