Remember a server's own answers for longer and leave one alone that is three times as slow

Each node met them every 4 s, forgot in 6, and its keys of the lowest slots never yielded; a jammed server recovers only when it is mostly idle.

To blame: the time-only fading of Server::pace, a guess worth three answers and the floor under the share (src/brain.rs).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,7 +49,7 @@
 const FEW_OUT: f64 = 0.2;
 const LEAST_LIMIT: f64 = 0.5;
 /// Answers that take twice the expected time are a sign too, where they are this part of the latest.
-const STRAIN: f64 = 0.4;
+const STRAIN: f64 = 0.35;
 const STRAINED: f64 = 2.0;
 /// What a sweep keeps of the counts, and the answers as expected that they begin with.
 const STRAIN_KEEP: f64 = 0.9;
@@ -61,7 +61,12 @@
 const OVERDUE: f64 = 2.5;
 
 /// Answers that the guess at a server's pace begins with, from its kind, and a kind's, from all.
-const GUESS: f64 = 3.0;
+const GUESS: f64 = 1.5;
+const LEAST_PACE: f64 = 0.12;
+/// Answers of a server that the guess goes by, and what a sweep keeps of them: a node that sees one in
+/// some seconds must remember what it saw.
+const PACE_MEMORY: f64 = 8.0;
+const PACE_KEEP: f64 = 0.993;
 /// Shares: what a full answer leaves, what a sweep gives back, the least that is left.
 const FULL_YIELD: f64 = 0.6;
 const REGAIN: f64 = 0.01;
@@ -256,14 +261,15 @@
 }
 
 impl Pace {
-    fn add(&mut self, ratio: f64) {
+    fn add(&mut self, ratio: f64, memory: f64) {
+        self.fade(1.0 - 1.0 / memory);
         self.sum += ratio;
         self.count += 1.0;
     }
 
-    fn fade(&mut self) {
-        self.sum *= HOT_KEEP;
-        self.count *= HOT_KEEP;
+    fn fade(&mut self, keep: f64) {
+        self.sum *= keep;
+        self.count *= keep;
     }
 
     /// The mean, which begins at a guess that counts for some answers.
@@ -524,7 +530,9 @@
         if spent || ejected {
             0.0
         } else {
-            let pace = (self.quickest / self.pace(server)).powi(2).clamp(LEAST_SHARE, 1.0);
+            let pace = (self.quickest / self.pace(server)).powi(2).min(1.0);
+            // One that is so slow comes to itself only if left alone, by all of its keys.
+            let pace = if pace < LEAST_PACE { 0.0 } else { pace };
             // The budget alone holds a cold server to its pace: with a share as low besides, a node that
             // has few requests would hardly ever have one for it when it may send one.
             server.share.min(pace)
@@ -544,12 +552,14 @@
         (norm.mean + more).max(norm.mean / 4.0).max(1.0)
     }
 
-    /// Counts how long an answer took against the expected time. What hangs tells of no other server.
+    /// Counts how long an answer took against the expected time. What hangs tells of no other server,
+    /// and neither does a cold one: it takes as much longer as it has less of its capacity.
     fn take_pace(&mut self, i: usize, ratio: f64, hung: bool) {
+        let warmth = self.warmth(&self.servers[i]);
         let server = &mut self.servers[i];
-        server.pace.add(ratio);
-        if !hung {
-            self.kinds.entry(server.member.kind).or_default().add(ratio);
+        server.pace.add(ratio * warmth, PACE_MEMORY);
+        if !hung && warmth >= 1.0 {
+            self.kinds.entry(server.member.kind).or_default().add(ratio, 10.0 * PACE_MEMORY);
             let sign = f64::from(u8::from(ratio > STRAINED));
             self.mood.strained += sign;
             self.mood.measured += 1.0;
@@ -1124,8 +1134,8 @@
             hot.error *= HOT_KEEP;
         }
         self.hot.retain(|h| h.count > 0.3);
-        self.servers.iter_mut().for_each(|server| server.pace.fade());
-        self.kinds.values_mut().for_each(Pace::fade);
+        self.servers.iter_mut().for_each(|server| server.pace.fade(PACE_KEEP));
+        self.kinds.values_mut().for_each(|kind| kind.fade(PACE_KEEP));
         let rates = self.norms.iter_mut().flat_map(|n| &mut n.rates);
         rates.chain(&mut self.tenant_rates).for_each(|rate| *rate *= HOT_KEEP);
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -687,6 +687,27 @@
     assert_eq!(sent_on, 10);
 }
 
+// Guards against keeping a jammed server jammed with the keys that never yield: it recovers only if it
+// is left alone.
+#[test]
+fn a_server_several_times_slower_than_its_kind_is_left_alone_by_all_keys() {
+    let mut node = Node::fleet(10);
+    let jammed = node.place(0, UNSAFE, 5);
+    node.close(0, 0, jammed, Outcome::Ok);
+    answer(&mut node, 1, 100, Outcome::Ok, 20_000);
+    for n in 1_000..1_400 {
+        let server = node.place(n, UNSAFE, n);
+        node.close_after(n, 0, server, Outcome::Ok, if server == jammed { 300_000 } else { 20_000 });
+    }
+    node.pass(SECOND);
+    let asked = (10_000..10_500).filter(|&n| {
+        let server = node.place(n, UNSAFE, n);
+        node.close_after(n, 0, server, Outcome::Cancelled, 1_000);
+        server == jammed
+    });
+    assert_eq!(asked.count(), 0);
+}
+
 // Guards against cold servers that hardly warm: each node of a large fleet may send one little and
 // has few requests to choose from.
 #[test]
