--- a/src/api.rs
+++ b/src/api.rs
@@ -172,6 +172,8 @@
     pub ramp_time: Micros,
     /// Sent more than this multiple of its present capacity, a cold server falls over.
     pub fall_multiple: f64,
+    /// A connection that takes longer is given up.
+    pub dial_timeout: Micros,
     /// Longest time without a subscription and without asking for one.
     pub ask_within: Micros,
     /// A key of an in-order class rests this long after an attempt that may still be running.
@@ -202,6 +204,7 @@
             start_capacity: 1.0,
             ramp_time: 0,
             fall_multiple: 1.0,
+            dial_timeout: 0,
             ask_within: 10_000_000,
             settle_after_doubt: 0,
             full_may_have_run: false,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -63,10 +63,12 @@
 /// Answers that the guess at a server's pace begins with, from its kind, and a kind's, from all.
 const GUESS: f64 = 1.5;
 const LEAST_PACE: f64 = 0.12;
+/// So many servers of a zone without a connection, and no answer from it, mean that all of it is lost.
+const ZONE_SILENT: usize = 3;
 /// Answers of a server that the guess goes by, and what a sweep keeps of them: a node that sees one in
 /// some seconds must remember what it saw.
 const PACE_MEMORY: f64 = 8.0;
-const PACE_KEEP: f64 = 0.993;
+const PACE_KEEP: f64 = 0.9965;
 /// Shares: what a full answer leaves, what a sweep gives back, the least that is left.
 const FULL_YIELD: f64 = 0.6;
 const REGAIN: f64 = 0.01;
@@ -347,6 +349,8 @@
     norms: Vec<Norm>,
     /// Covariance of answer time and cost inside the classes, and variance of the cost.
     spread: (f64, f64),
+    /// Servers of a zone that made no connection since any of it answered.
+    silent: BTreeMap<ZoneId, Vec<ServerId>>,
     /// How the kinds of servers do, and the quickest of them.
     kinds: BTreeMap<KindId, Pace>,
     quickest: f64,
@@ -380,6 +384,7 @@
             turns: BTreeMap::new(),
             norms: settings.classes.iter().map(norm).collect(),
             spread: (0.0, 0.0),
+            silent: BTreeMap::new(),
             kinds: BTreeMap::new(),
             quickest: 1.0,
             hot: Vec::new(),
@@ -461,6 +466,11 @@
         for member in members {
             self.on_member(member);
         }
+        // One that restarted or went is no longer silent: nobody would ever try it again.
+        let (index, servers) = (&self.index, &self.servers);
+        let out =
+            |id: &ServerId| index.get(id).is_some_and(|&i| servers[i].ready && servers[i].ejected.is_some());
+        self.silent.values_mut().for_each(|silent| silent.retain(out));
     }
 
     fn on_member(&mut self, mut member: Member) {
@@ -527,7 +537,7 @@
         let warmth = self.warmth(server);
         let spent = warmth < 1.0 && server.budget < 1.0;
         let ejected = server.ejected.is_some() && !self.mood.panic;
-        if spent || ejected {
+        if spent || ejected || self.cut_off(server) {
             0.0
         } else {
             let pace = (self.quickest / self.pace(server)).powi(2).min(1.0);
@@ -539,6 +549,13 @@
         }
     }
 
+    /// Whether a server's zone is lost: several of it make no connection and none of it answers, while
+    /// other zones do. A node of many would take too long to find each of its servers dead.
+    fn cut_off(&self, server: &Server) -> bool {
+        let lost = |zone| self.silent.get(zone).is_some_and(|silent| silent.len() >= ZONE_SILENT);
+        lost(&server.member.zone) && self.silent.keys().any(|zone| !lost(zone))
+    }
+
     /// How long a server's answers take, by its own latest ones and those of its kind.
     fn pace(&self, server: &Server) -> f64 {
         server.pace.mean(self.kinds.get(&server.member.kind).map_or(1.0, |kind| kind.mean(1.0)))
@@ -989,6 +1006,12 @@
             self.mood.failing += 0.01 * (failed - self.mood.failing);
         }
         let dead = closed.outcome == Outcome::ConnectFailed && !full;
+        let silent = self.silent.entry(server.member.zone).or_default();
+        if matches!(closed.outcome, Outcome::Ok | Outcome::Full | Outcome::Error) {
+            silent.clear();
+        } else if dead && !silent.contains(&closed.server) {
+            silent.push(closed.server);
+        }
         let stands_out = server.failing > FAILING.max(FAILING_MORE * self.mood.failing);
         let ejected = server.ejected.is_some();
         if answered || closed.outcome == Outcome::Error {
@@ -1040,7 +1063,10 @@
 
     fn on_probed(&mut self, id: ServerId, outcome: Outcome) {
         match self.index.get(&id) {
-            Some(&i) if outcome == Outcome::Ok => self.servers[i].reinstate(),
+            Some(&i) if outcome == Outcome::Ok => {
+                self.servers[i].reinstate();
+                self.silent.entry(self.servers[i].member.zone).or_default().clear();
+            }
             Some(&i) => self.eject(i),
             None => {}
         }
@@ -1104,7 +1130,9 @@
         let mut overdue = Vec::new();
         for pending in self.requests.values_mut() {
             for attempt in pending.attempts.iter_mut().filter(|a| a.fate == Fate::Out && !a.overdue) {
-                if ((self.now - attempt.sent) as f64) < OVERDUE * attempt.expected {
+                // Until its time is up it may be waiting for its connection.
+                let least = self.settings.dial_timeout as f64 + attempt.expected;
+                if ((self.now - attempt.sent) as f64) < (OVERDUE * attempt.expected).max(least) {
                     continue;
                 }
                 attempt.overdue = true;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -179,6 +179,7 @@
         start_capacity: p.real("rules.start-capacity", 1.0)?,
         ramp_time: p.whole("rules.ramp-time", 0)?,
         fall_multiple: p.real("rules.fall-multiple", 1.0)?,
+        dial_timeout: p.whole("bounds.dial-timeout", 0)?,
         ask_within: p.whole("rules.ask-within", 10_000_000)?,
         settle_after_doubt: p.whole("rules.settle-after-doubt", 0)?,
         full_may_have_run: p.flag("rules.may-shed-begun"),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -670,6 +670,68 @@
     assert!(sent_after(300_000) < 20);
 }
 
+// Guards against looking for each dead server by itself when a zone is lost, and against never coming
+// back to a zone whose silent servers were restarted.
+#[test]
+fn a_zone_of_which_several_servers_are_silent_and_none_answers_is_left_alone() {
+    let in_lost_zone = |node: &mut Node, base: u64| {
+        let asked = (base..base + 300).filter(|&n| {
+            let server = node.place(n, UNSAFE, n);
+            node.close_after(n, 0, server, Outcome::Cancelled, 1_000);
+            server.0 % 2 == 1
+        });
+        asked.count()
+    };
+    let lose = || {
+        let mut node = Node::new(Settings { may_probe: true, ..settings() }, (0..40).map(member).collect());
+        let mut silent = Vec::new();
+        for n in 0.. {
+            let server = node.place(n, UNSAFE, n);
+            if server.0.is_multiple_of(2) {
+                node.close(n, 0, server, Outcome::Ok);
+            } else if silent.len() < 3 {
+                silent.push(server);
+                let other = sent(&node.close(n, 0, server, Outcome::ConnectFailed)).expect("resent");
+                node.close_after(n, 1, other, Outcome::Cancelled, 1_000);
+            } else {
+                node.close_after(n, 0, server, Outcome::Cancelled, 1_000);
+                break;
+            }
+            if silent.len() == 3 {
+                break;
+            }
+        }
+        (node, silent)
+    };
+    let (mut node, silent) = lose();
+    assert_eq!(in_lost_zone(&mut node, 1_000), 0);
+    node.event(Event::Probed { server: silent[0], outcome: Outcome::Ok, spent: 1_000, load: vec![] });
+    assert!(in_lost_zone(&mut node, 2_000) > 50);
+    let (mut node, silent) = lose();
+    let back = silent.iter().map(|server| Member { since: node.now - 60 * SECOND, ..member(server.0) });
+    node.sync(SyncKind::Delta, back.collect());
+    assert!(in_lost_zone(&mut node, 2_000) > 50);
+}
+
+// Guards against taking a lost server for a jam: an attempt may wait that long for its connection.
+#[test]
+fn an_attempt_that_may_still_be_connecting_is_no_sign_of_a_jam() {
+    let settings = Settings { dial_timeout: SECOND, ..settings() };
+    let mut node = Node::new(settings, (0..30).map(member).collect());
+    for n in 0..100 {
+        let server = node.place(n, UNSAFE, n);
+        node.close_after(n, 0, server, Outcome::Ok, 50_000);
+        node.pass(100_000);
+    }
+    for n in 1_000..1_040 {
+        node.now += 1_000;
+        node.place(n, UNSAFE, n);
+    }
+    node.pass(300_000);
+    let sent_on = (2_000..2_040).filter(|&n| sent(&node.ask(n, UNSAFE, n)).is_some()).count();
+    assert_eq!(sent_on, 40);
+}
+
 // Guards against a node that sends little staying held down by the few answers it remembers.
 #[test]
 fn a_node_that_sends_little_forgets_a_jam_as_fast_as_others() {
