Hold 32 answers of a server's pace: with many requests, 8 moved keys about by chance

To blame: PACE_MEMORY in src/brain.rs. A node of a hundred never has so many; it is unchanged there.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,7 +67,7 @@
 const ZONE_SILENT: usize = 3;
 /// Answers of a server that the guess goes by, and what a sweep keeps of them: a node that sees one in
 /// some seconds must remember what it saw.
-const PACE_MEMORY: f64 = 8.0;
+const PACE_MEMORY: f64 = 32.0;
 const PACE_KEEP: f64 = 0.9965;
 /// Shares: what a full answer leaves, what a sweep gives back, the least that is left.
 const FULL_YIELD: f64 = 0.6;
@@ -576,7 +576,7 @@
         let server = &mut self.servers[i];
         server.pace.add(ratio * warmth, PACE_MEMORY);
         if !hung && warmth >= 1.0 {
-            self.kinds.entry(server.member.kind).or_default().add(ratio, 10.0 * PACE_MEMORY);
+            self.kinds.entry(server.member.kind).or_default().add(ratio, 3.0 * PACE_MEMORY);
             let sign = f64::from(u8::from(ratio > STRAINED));
             self.mood.strained += sign;
             self.mood.measured += 1.0;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -756,8 +756,8 @@
     let mut node = Node::fleet(10);
     let jammed = node.place(0, UNSAFE, 5);
     node.close(0, 0, jammed, Outcome::Ok);
-    answer(&mut node, 1, 100, Outcome::Ok, 20_000);
-    for n in 1_000..1_400 {
+    answer(&mut node, 1, 30, Outcome::Ok, 20_000);
+    for n in 1_000..2_000 {
         let server = node.place(n, UNSAFE, n);
         node.close_after(n, 0, server, Outcome::Ok, if server == jammed { 300_000 } else { 20_000 });
     }
