Read a close that has come before a kept connection is used again

The server had closed before the request was sent; the node's task took the request in the same turn, before the connection's task had read the close. To blame: Servers::attempt (src/bin/woodgap/servers.rs), which asks is_closed of a task that may not have run. It now gives it one turn.

--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -14,6 +14,7 @@
 use hyper::{Method, Request, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{timeout_at, Instant};
 use woodgap::settings::Places;
 use woodgap::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
@@ -252,7 +253,7 @@
                 return None;
             }
             // The socket closes when its task is next run.
-            tokio::task::yield_now().await;
+            yield_now().await;
         }
     }
 
@@ -284,7 +285,12 @@
         loop {
             let Some((addr, epoch)) = self.address(server) else { return Outcome::ConnectFailed.into() };
             let (mut link, reused) = match self.idle_link(server) {
-                Some(link) => (link, true),
+                Some(link) => {
+                    // Its close may have come and not been read yet: the connection's task first, for what
+                    // is written to a closed one is lost, and an unsafe request with it.
+                    yield_now().await;
+                    (link, true)
+                }
                 None => {
                     let connected = until.min(Instant::now() + self.figures.dial_timeout);
                     match timeout_at(connected, self.dial(addr, epoch)).await {
@@ -531,6 +537,35 @@
         LocalSet::new().run_until(run).await;
     }
 
+    // What is written to a connection that its server has closed is lost, and an unsafe request with it:
+    // a close that has come must be read first, even if nothing has run since.
+    #[tokio::test]
+    async fn a_close_that_has_not_been_read_yet_is_heeded() {
+        use std::io::{Read, Write};
+        let run = async {
+            let servers = servers(8);
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let addr = listener.local_addr().unwrap();
+            let (closed, told) = std::sync::mpsc::channel();
+            std::thread::spawn(move || {
+                for stream in listener.incoming().take(2) {
+                    let mut stream = stream.unwrap();
+                    let _ = stream.read(&mut [0; 4096]);
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").unwrap();
+                    std::thread::sleep(Duration::from_millis(50));
+                    drop(stream);
+                    closed.send(()).unwrap();
+                }
+            });
+            let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
+            assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::Ok);
+            // Blocks the runtime, so that the close is there and unread.
+            told.recv().unwrap();
+            assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::Ok);
+        };
+        LocalSet::new().run_until(run).await;
+    }
+
     // Rule 3: what waited for its connection must not be written once the server drains for long.
     #[tokio::test]
     async fn nothing_is_written_to_a_server_that_drains_for_long() {
