--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -69,6 +69,8 @@
     /// Set once idle connections are to go as well.
     closing: Cell<bool>,
     close: Notify,
+    /// Told when nothing more is to be accepted.
+    stop: Notify,
     /// Told whenever a connection ends.
     ended: Notify,
 }
@@ -99,19 +101,26 @@
             draining: Cell::new(false),
             closing: Cell::new(false),
             close: Notify::new(),
+            stop: Notify::new(),
             ended: Notify::new(),
         })
     }
 
-    /// Accepts for as long as the node lives, after SIGTERM too: what is written to a connection
-    /// in the backlog counts as taken.
+    /// Accepts until it is told to stop, after SIGTERM too: what is written to a connection in the
+    /// backlog counts as taken.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             // Refusals last a second at the most, so this wait is short.
             while self.overflow.is_full() {
                 self.ended.notified().await;
             }
-            match listener.accept().await {
+            // Stopped here only: one that was accepted is served.
+            let accepted = tokio::select! {
+                biased;
+                () = self.stop.notified() => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
                     let permits = match self.room().await {
@@ -135,6 +144,11 @@
         }
     }
 
+    /// Leaves what connects from now on to another process that holds the listener.
+    pub fn stop_accepting(&self) {
+        self.stop.notify_one();
+    }
+
     /// A client's place, at the cost of a connection without an open request where all are taken.
     async fn room(&self) -> Option<Permit> {
         loop {
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -9,6 +9,7 @@
 mod counts;
 mod discovery;
 mod driver;
+mod inherit;
 mod log;
 mod peers;
 mod servers;
@@ -39,10 +40,18 @@
 /// Connections past the budget that are told so at a time.
 const OVERFLOW: usize = 32;
 
-async fn run(config: Config, path: PathBuf) -> Result<(), Box<dyn Error>> {
+async fn run(
+    config: Config,
+    path: PathBuf,
+    inherited: Option<std::net::TcpListener>,
+) -> Result<(), Box<dyn Error>> {
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let listener = TcpListener::bind(config.listen).await?;
+    let keeps_backlog = inherited.is_some();
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener)?,
+        None => TcpListener::bind(config.listen).await?,
+    };
     let listen = listener.local_addr()?;
     let peers = match config.peer_listen {
         Some(listen) => Some(Peers::bind(listen, config.peers.clone(), config.peers_all).await?),
@@ -91,6 +100,10 @@
     log::line(format_args!("{} listens on {listen}", config.name));
     term.recv().await;
     log::line(format_args!("{} drains", config.name));
+    // Held by the platform, the socket keeps what comes for the process that follows.
+    if keeps_backlog {
+        clients.stop_accepting();
+    }
     clients.drain().await;
     Ok(())
 }
@@ -104,12 +117,13 @@
     let env: std::collections::HashMap<String, String> = std::env::vars_os()
         .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)))
         .collect();
+    let inherited = env.get("BALANCER_FD").map(|fd| inherit::listener(fd)).transpose()?;
     let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
     let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
     let path = PathBuf::from(path);
     let config = Config::read(&text, &env)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(LocalSet::new().run_until(run(config, path)))
+    runtime.block_on(LocalSet::new().run_until(run(config, path, inherited)))
 }
 
 fn main() -> ExitCode {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
@@ -147,6 +149,36 @@
     file: tempfile::NamedTempFile,
 }
 
+/// Starts a node and waits until it listens: on `listener`, handed down as descriptor 4, if given.
+fn start(config: &Path, listener: Option<&TcpListener>, env: &[(&str, &str)]) -> (Child, SocketAddr) {
+    let program = env!("CARGO_BIN_EXE_woodgap");
+    let mut command = match listener {
+        None => Command::new(program),
+        Some(listener) => {
+            let mut command = Command::new("/bin/sh");
+            command.args(["-c", "exec 4<&0 </dev/null; exec \"$0\"", program]);
+            command.stdin(OwnedFd::from(listener.try_clone().unwrap()));
+            command
+        }
+    };
+    command.env_clear().env("BALANCER_CONFIG", config).envs(env.iter().copied());
+    if listener.is_some() {
+        command.env("BALANCER_FD", "4");
+    }
+    let mut node = command.stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(node.stderr.take().unwrap()).lines();
+    let addr = log
+        .by_ref()
+        .find_map(|line| line.unwrap().split_once("listens on ").map(|(_, addr)| addr.parse().unwrap()))
+        .expect("the node listens");
+    thread::spawn(move || log.for_each(drop));
+    (node, addr)
+}
+
+fn signal(node: &Child, name: &str) {
+    assert!(Command::new("kill").args([name, &node.id().to_string()]).status().unwrap().success());
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         let _ = self.node.kill();
@@ -192,19 +224,7 @@
         });
         let mut file = tempfile::NamedTempFile::new().unwrap();
         file.write_all(config.to_string().as_bytes()).unwrap();
-        let mut node = Command::new(env!("CARGO_BIN_EXE_woodgap"))
-            .env_clear()
-            .env("BALANCER_CONFIG", file.path())
-            .env("BALANCER_DISCOVERY", &discovery)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut log = BufReader::new(node.stderr.take().unwrap()).lines();
-        let addr = log
-            .by_ref()
-            .find_map(|line| line.unwrap().split_once("listens on ").map(|(_, addr)| addr.parse().unwrap()))
-            .unwrap();
-        thread::spawn(move || log.for_each(drop));
+        let (node, addr) = start(file.path(), None, &[]);
         Site { node, addr, does, members, seen, watches, config, file }
     }
 
@@ -239,8 +259,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let pid = self.node.id().to_string();
-        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+        signal(&self.node, name);
     }
 
     fn watch(&self) -> (Message, TcpStream) {
@@ -589,3 +608,51 @@
     }
     assert!(site.node.wait().unwrap().success());
 }
+
+/// One request on a connection of its own; the answer, if there is a whole one.
+fn ask_at(addr: SocketAddr, text: &[u8]) -> Option<Message> {
+    let mut stream = TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(text).ok()?;
+    Message::read(&mut BufReader::new(stream))
+}
+
+// The platform holds the listener: no request may meet a refused, reset or unread connection.
+#[test]
+fn a_process_is_replaced_without_a_lost_connection() {
+    let site = Site::new(2);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut old, addr) = start(site.file.path(), Some(&listener), &[]);
+    assert_eq!(addr, listener.local_addr().unwrap());
+    let asked = |n: u32| ask_at(addr, &request("pay", &n.to_string(), 60_000)).map(|m| m.status());
+    assert_eq!(asked(0), Some(200));
+    assert_eq!(site.requests().len(), 1);
+    let (mut new, _) = start(site.file.path(), Some(&listener), &[]);
+    site.all_do(Does::Hold);
+    // Taken by either process, as both accept.
+    let held: Vec<_> = (1..9)
+        .map(|n| {
+            thread::spawn(move || {
+                let answer = ask_at(addr, &request("pay", &n.to_string(), 60_000)).expect("an answer");
+                assert_eq!((answer.status(), answer.body), (200, n.to_string().into_bytes()));
+            })
+        })
+        .collect();
+    let mut taken = 0;
+    until("all are with a server", || {
+        taken += site.requests().len();
+        taken >= 8
+    });
+    signal(&old, "-TERM");
+    thread::sleep(Duration::from_millis(200));
+    site.all_do(Does::Serve);
+    for asker in held {
+        asker.join().unwrap();
+    }
+    (9..60).for_each(|n| assert_eq!(asked(n), Some(200)));
+    assert!(old.wait().unwrap().success());
+    (60..70).for_each(|n| assert_eq!(asked(n), Some(200)));
+    assert!(new.try_wait().unwrap().is_none());
+    new.kill().unwrap();
+    new.wait().unwrap();
+}
