--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -22,10 +22,10 @@
 use woodgap::{ClassId, Key, Semantics, Settings, TenantId};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::counts::Counts;
+use crate::counts::{Counts, End};
 use crate::driver::{Answer, Arrival, Msg};
 use crate::servers::{Call, Servers, LONGEST_BODY};
-use crate::task::{Budget, Permit};
+use crate::task::{AbortOnDrop, Budget, Permit};
 
 /// Most bytes and fields of a request's head.
 const LONGEST_HEAD: usize = 16 * 1024;
@@ -42,7 +42,7 @@
 /// An answer must reach the client before it gives up: the client counts from its send, the node
 /// from its read, and the way back takes time too.
 pub const MARGIN: Duration = Duration::from_millis(12);
-/// After SIGTERM new connections and requests still come for up to 0.4 s.
+/// While a drain begins new connections and requests still come for up to 0.4 s.
 const DRAIN: Duration = Duration::from_millis(600);
 /// A connection past the budget gets this long to hear that it is refused.
 const REFUSAL: Duration = Duration::from_secs(1);
@@ -66,6 +66,10 @@
     guests: RefCell<HashMap<u64, Rc<Guest>>>,
     connections: Cell<usize>,
     draining: Cell<bool>,
+    /// The process is to end: nobody can undo this drain.
+    ending: Cell<bool>,
+    /// Closes idle connections once a drain has begun.
+    drain: RefCell<Option<AbortOnDrop>>,
     /// Set once idle connections are to go as well.
     closing: Cell<bool>,
     close: Notify,
@@ -99,6 +103,8 @@
             connections: Cell::new(0),
             guests: RefCell::default(),
             draining: Cell::new(false),
+            ending: Cell::new(false),
+            drain: RefCell::default(),
             closing: Cell::new(false),
             close: Notify::new(),
             stop: Notify::new(),
@@ -187,6 +193,9 @@
             let (clients, guest) = (clients.clone(), asks.clone());
             async move {
                 let mut response = if refuse {
+                    if let Some(class) = clients.class_of(request.headers()) {
+                        clients.counts.ended(class, End::Refused);
+                    }
                     clients.refusal(Some(OVERFULL))
                 } else {
                     clients.handle(request, &guest).await
@@ -235,13 +244,46 @@
         self.ended.notify_waiters();
     }
 
-    /// After SIGTERM: serves on while clients still come, then closes what is idle and returns
-    /// once nothing is held.
-    pub async fn drain(&self) {
-        self.draining.set(true);
+    /// Sends clients away: readiness says no, each answer closes its connection, and once the front
+    /// has had time to notice, what is idle closes too.
+    pub fn stand_by(self: &Rc<Self>) {
+        if self.draining.replace(true) {
+            return;
+        }
+        let clients = self.clone();
+        *self.drain.borrow_mut() = Some(AbortOnDrop::spawn(async move {
+            sleep(DRAIN).await;
+            clients.closing.set(true);
+            clients.close.notify_waiters();
+        }));
+    }
+
+    /// Ends a drain; `false` where the process is to end.
+    pub fn activate(&self) -> bool {
+        if self.ending.get() {
+            return false;
+        }
+        *self.drain.borrow_mut() = None;
+        self.draining.set(false);
+        self.closing.set(false);
+        true
+    }
+
+    /// Whether clients are welcome.
+    pub fn is_ready(&self) -> bool {
+        !self.draining.get()
+    }
+
+    /// Requests taken and not ended.
+    pub fn outstanding(&self) -> usize {
+        self.held.get()
+    }
+
+    /// After SIGTERM: drains, and returns once nothing is held.
+    pub async fn drain(self: &Rc<Self>) {
+        self.ending.set(true);
+        self.stand_by();
         sleep(DRAIN).await;
-        self.closing.set(true);
-        self.close.notify_waiters();
         // A client that trickles a request must not keep the node up: all that was taken has had
         // its answer by the longest deadline.
         let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
@@ -256,7 +298,7 @@
     async fn handle(&self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
         match request.uri().path() {
             "/-/ready" if request.method() == Method::GET => {
-                let ready = !self.draining.get();
+                let ready = self.is_ready();
                 guest.asks();
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
@@ -280,8 +322,7 @@
         if text("x-txn").map_err(|_| bad("X-Txn is not text\n"))?.is_none_or(str::is_empty) {
             return Err(bad("X-Txn is missing\n"));
         }
-        let class = text("x-lane").ok().flatten().and_then(|name| self.names.class(name));
-        let class = class.ok_or(bad("X-Lane names no known class\n"))?;
+        let class = self.class_of(&head.headers).ok_or(bad("X-Lane names no known class\n"))?;
         let tenant = match text("x-org").map_err(|_| bad("X-Org is not text\n"))? {
             None => None,
             Some(name) => Some(self.names.tenant(name).ok_or(bad("X-Org names no known tenant\n"))?),
@@ -318,6 +359,7 @@
         // soon after; one whose body took long has used up more of its time.
         let deadline = came + patience.saturating_sub(MARGIN);
         if self.held.get() >= self.open_cap {
+            self.counts.ended(class, End::Refused);
             return Ok(self.refusal(Some(OVERFULL)));
         }
         let key = head.uri.query().and_then(key_of);
@@ -339,19 +381,29 @@
             repeat,
             cost,
             deadline,
-            call: Rc::new(Call { method: head.method, target, headers, body }),
+            call: Rc::new(Call { method: head.method, target, headers, body, probe: false }),
             reply,
         };
         let _waiting = Waiting::new(self, id);
-        if self.tx.send(Msg::Request(Box::new(arrival))).is_err() {
-            return Ok(self.refusal(Some(OVERFULL)));
-        }
-        Ok(match answer.await {
-            Ok(Answer::Served(headers, body)) => served(headers, body),
-            Ok(Answer::Refused(wait)) => self.refusal(wait),
-            Ok(Answer::Failed) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-            Ok(Answer::Late) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
-        })
+        let answer = match self.tx.send(Msg::Request(Box::new(arrival))) {
+            Ok(()) => answer.await.unwrap_or(Answer::Late),
+            Err(_) => Answer::Refused(Some(OVERFULL)),
+        };
+        let (end, response) = match answer {
+            Answer::Served(headers, body) => (End::Served, served(headers, body)),
+            Answer::Refused(wait) => (End::Refused, self.refusal(wait)),
+            Answer::Failed => (End::Failed, plain(StatusCode::BAD_GATEWAY, "failed\n")),
+            Answer::Late => {
+                self.counts.late.add();
+                (End::Failed, plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"))
+            }
+        };
+        self.counts.ended(class, end);
+        Ok(response)
+    }
+
+    fn class_of(&self, headers: &HeaderMap) -> Option<usize> {
+        self.names.class(headers.get("x-lane")?.to_str().ok()?)
     }
 
     /// A refusal: trying again is harmless.
--- a/src/bin/woodgap/config.rs
+++ b/src/bin/woodgap/config.rs
@@ -20,6 +20,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    operator: Option<String>,
     #[serde(default)]
     seed: Value,
     #[serde(default)]
@@ -51,6 +52,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if they do.
+    pub operator: Option<SocketAddr>,
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
@@ -86,6 +89,10 @@
             let text = env.get(name).cloned().or(given).ok_or_else(|| format!("{name} is not set"))?;
             Ok(text.parse().map_err(|e| format!("{name} '{text}': {e}"))?)
         };
+        let operator = match (env.get("BALANCER_OPERATOR"), &file.operator) {
+            (None, None) => None,
+            _ => Some(address("BALANCER_OPERATOR", file.operator)?),
+        };
         let parse = |text: &String| -> Result<SocketAddr, Box<dyn Error>> {
             Ok(text.parse().map_err(|e| format!("peer '{text}': {e}"))?)
         };
@@ -104,6 +111,7 @@
             name: env.get("BALANCER_NAME").cloned().unwrap_or(file.name),
             listen: address("BALANCER_LISTEN", file.listen)?,
             discovery: address("BALANCER_DISCOVERY", file.discovery)?,
+            operator,
             seed: seed(&file.seed),
             sockets: file.limits.sockets,
             peer_listen: file.peer_listen.as_ref().map(parse).transpose()?,
@@ -196,6 +204,11 @@
         assert_eq!((config.settings.classes[0].aim, config.names.class("pay")), (500_000, Some(0)));
         assert!(config.settings.may_probe && config.known.entries.is_empty());
         assert_eq!(config.figures.report, ["queue", "util"]);
+        assert!(config.operator.is_none(), "off where nobody names it");
+        let env = HashMap::from([("BALANCER_OPERATOR".to_owned(), "127.0.0.1:8".to_owned())]);
+        assert_eq!(Config::read(text, &env).unwrap().operator.unwrap().port(), 8);
+        let named = text.replace("\"later\": []", "\"operator\": \"127.0.0.1:7\"");
+        assert_eq!(Config::read(&named, &HashMap::new()).unwrap().operator.unwrap().port(), 7);
         assert!(Config::read("{}", &HashMap::new()).is_err());
     }
 }
--- a/src/bin/woodgap/counts.rs
+++ b/src/bin/woodgap/counts.rs
@@ -1,7 +1,8 @@
-//! What the node has done since its last report, for the log.
+//! What the node has done since its start: counted once, where it happens, for the log and the figures.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Write;
+use std::rc::Rc;
 use std::time::Duration;
 
 use woodgap::Outcome;
@@ -12,7 +13,7 @@
 /// The outcomes, as `Counts::closed` numbers them.
 const OUTCOMES: [&str; 8] = ["ok", "error", "full", "timeout", "unconnected", "reset", "cancelled", "moot"];
 
-/// A count that starts anew with each report.
+/// A count since the start of the process.
 #[derive(Default)]
 pub struct Count(Cell<u64>);
 
@@ -21,34 +22,89 @@
         self.0.set(self.0.get() + 1);
     }
 
-    fn take(&self) -> u64 {
-        self.0.take()
+    fn get(&self) -> u64 {
+        self.0.get()
     }
 }
 
+/// How the requests of a class ended.
+#[derive(Default)]
+struct Ends {
+    class: String,
+    served: Count,
+    refused: Count,
+    failed: Count,
+}
+
+impl Ends {
+    fn of(&self, end: End) -> &Count {
+        match end {
+            End::Served => &self.served,
+            End::Refused => &self.refused,
+            End::Failed => &self.failed,
+        }
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    Served,
+    Refused,
+    Failed,
+}
+
 #[derive(Default)]
 pub struct Counts {
     /// Clients' connections taken, and those told that there is no room.
     pub accepted: Count,
     pub no_room: Count,
-    /// Requests handed to the module and what became of them.
+    /// Requests handed to the module, those it did not answer in time and those whose client left.
     pub taken: Count,
-    pub served: Count,
-    pub refused: Count,
-    pub failed: Count,
     pub late: Count,
     pub gone: Count,
     /// Answers in the 400s: requests that never reached the module.
     pub malformed: Count,
     /// Connections closed for want of a whole first request.
     pub silent: Count,
-    /// Connections to servers that were tried.
+    /// Connections to servers that were tried, and attempts written whole to one.
     pub dialled: Count,
+    pub forwards: Count,
+    /// New configurations taken over and left alone.
+    pub sighup_applied: Count,
+    pub sighup_rejected: Count,
+    /// Ends of requests by class.
+    ends: Vec<Ends>,
     /// Attempts by outcome.
     attempts: [Count; OUTCOMES.len()],
+    /// What the last report read.
+    reported: RefCell<Vec<u64>>,
+}
+
+/// What is so at the moment.
+#[derive(Clone, Copy)]
+pub struct Gauges {
+    /// Requests taken and not ended.
+    pub outstanding: usize,
+    /// Servers on the list.
+    pub discovered: usize,
+    /// Those of them that the node avoids.
+    pub ejected: usize,
 }
 
 impl Counts {
+    pub fn new(classes: &[String]) -> Rc<Self> {
+        let ends = classes.iter().map(|class| Ends { class: class.clone(), ..Ends::default() }).collect();
+        Rc::new(Counts { ends, ..Counts::default() })
+    }
+
+    /// A request of a class has ended.
+    pub fn ended(&self, class: usize, end: End) {
+        if let Some(ends) = self.ends.get(class) {
+            ends.of(end).add();
+        }
+    }
+
     pub fn closed(&self, outcome: Outcome) {
         let place = match outcome {
             Outcome::Ok => 0,
@@ -65,38 +121,84 @@
 
     /// What came since the last report.
     pub fn report(&self) -> String {
-        let counts = [
-            ("connected", &self.accepted),
-            ("no-room", &self.no_room),
-            ("malformed", &self.malformed),
-            ("silent", &self.silent),
-            ("taken", &self.taken),
-            ("served", &self.served),
-            ("refused", &self.refused),
-            ("failed", &self.failed),
-            ("late", &self.late),
-            ("gone", &self.gone),
-            ("dialled", &self.dialled),
+        let all = |end| self.ends.iter().map(|ends| ends.of(end).get()).sum();
+        let mut now = vec![
+            ("connected", self.accepted.get()),
+            ("no-room", self.no_room.get()),
+            ("malformed", self.malformed.get()),
+            ("silent", self.silent.get()),
+            ("taken", self.taken.get()),
+            ("served", all(End::Served)),
+            ("refused", all(End::Refused)),
+            ("failed", all(End::Failed)),
+            ("late", self.late.get()),
+            ("gone", self.gone.get()),
+            ("dialled", self.dialled.get()),
+            ("forwards", self.forwards.get()),
         ];
+        let own = now.len();
+        now.extend(OUTCOMES.iter().zip(&self.attempts).map(|(name, count)| (*name, count.get())));
+        let values = now.iter().map(|(_, value)| *value).collect();
+        let before = self.reported.replace(values);
         let mut text = String::new();
-        for (name, count) in counts {
-            let _ = write!(text, "{name} {} ", count.take());
+        for (n, (name, value)) in now.iter().enumerate() {
+            let start = if n == own { "attempts: " } else { "" };
+            let _ = write!(text, "{start}{name} {} ", value - before.get(n).unwrap_or(&0));
         }
-        text.push_str("attempts:");
-        for (name, count) in OUTCOMES.iter().zip(&self.attempts) {
-            let _ = write!(text, " {name} {}", count.take());
+        text.truncate(text.trim_end().len());
+        text
+    }
+
+    /// All figures in Prometheus' text format.
+    pub fn metrics(&self, gauges: Gauges) -> String {
+        let mut text = String::with_capacity(2048);
+        for (name, help, end) in [
+            ("succeeded_total", "Requests served.", End::Served),
+            ("declined_total", "Requests refused.", End::Refused),
+            ("aborted_total", "Requests failed.", End::Failed),
+        ] {
+            head(&mut text, name, help, "counter");
+            for ends in &self.ends {
+                let (class, count) = (escaped(&ends.class), ends.of(end).get());
+                let _ = writeln!(text, "svc_{name}{{service=\"{class}\"}} {count}");
+            }
+        }
+        for (name, help, count) in [
+            ("forwards_total", "Attempts written whole to servers.", &self.forwards),
+            ("sighup_applied_total", "New configurations taken over.", &self.sighup_applied),
+            ("sighup_rejected_total", "New configurations left alone.", &self.sighup_rejected),
+        ] {
+            head(&mut text, name, help, "counter");
+            let _ = writeln!(text, "svc_{name} {}", count.get());
+        }
+        for (name, help, value) in [
+            ("outstanding", "Requests taken and not ended.", gauges.outstanding),
+            ("discovered", "Servers on the list.", gauges.discovered),
+            ("ejected", "Listed servers that the node avoids, by hand or by choice.", gauges.ejected),
+        ] {
+            head(&mut text, name, help, "gauge");
+            let _ = writeln!(text, "svc_{name} {value}");
         }
         text
     }
 }
 
+fn head(text: &mut String, name: &str, help: &str, kind: &str) {
+    let _ = writeln!(text, "# HELP svc_{name} {help}\n# TYPE svc_{name} {kind}");
+}
+
+/// A label's value as the format wants it.
+fn escaped(value: &str) -> String {
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
     #[test]
     fn a_report_tells_what_came_since_the_last_one() {
-        let counts = Counts::default();
+        let counts = Counts::new(&["a".to_owned()]);
         counts.closed(Outcome::Reset);
         counts.closed(Outcome::Reset);
         counts.taken.add();
@@ -105,4 +207,31 @@
         let next = counts.report();
         assert!(next.contains("taken 0") && next.contains("reset 0"), "{next}");
     }
+
+    #[test]
+    fn the_figures_never_start_anew_and_hold_all_classes_from_zero() {
+        let counts = Counts::new(&["a".to_owned(), "b\"\\\n".to_owned()]);
+        counts.ended(0, End::Served);
+        counts.report();
+        counts.ended(0, End::Served);
+        counts.ended(1, End::Failed);
+        counts.ended(9, End::Failed);
+        let text = counts.metrics(Gauges { outstanding: 14, discovered: 3, ejected: 1 });
+        for line in [
+            "# TYPE svc_succeeded_total counter",
+            "svc_succeeded_total{service=\"a\"} 2",
+            "svc_succeeded_total{service=\"b\\\"\\\\\\n\"} 0",
+            "svc_declined_total{service=\"a\"} 0",
+            "svc_aborted_total{service=\"b\\\"\\\\\\n\"} 1",
+            "svc_forwards_total 0",
+            "# TYPE svc_outstanding gauge",
+            "svc_outstanding 14",
+            "svc_discovered 3",
+            "svc_ejected 1",
+        ] {
+            assert!(text.lines().any(|found| found == line), "{line} in {text}");
+        }
+        let samples = text.lines().filter(|line| !line.starts_with('#'));
+        assert!(samples.clone().count() == 12 && samples.clone().all(|l| l.starts_with("svc_")), "{text}");
+    }
 }
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -77,6 +77,8 @@
     },
     /// Discovery answers at this address from now on.
     Discovery(SocketAddr),
+    /// How many listed servers are avoided?
+    Avoided(oneshot::Sender<usize>),
 }
 
 /// An attempt that is out.
@@ -211,7 +213,6 @@
                 if let Some(held) = self.held.get_mut(&id) {
                     if let Some(reply) = held.reply.take() {
                         crate::log::line(format_args!("a request was not answered by its deadline"));
-                        self.counts.late.add();
                         let _ = reply.send(Answer::Late);
                         self.events.push_back(Event::Lapsed(request_id(id)));
                     }
@@ -241,6 +242,7 @@
             Msg::News { watch, news } if watch == self.watch => self.news(news),
             Msg::News { .. } => {}
             Msg::Peer { from, data } => self.events.push_back(Event::Peer { from, data }),
+            Msg::Avoided(reply) => drop(reply.send(self.balancer.avoided())),
             Msg::Discovery(addr) => {
                 self.discovery = addr;
                 // Whoever asked for the watch there was, it ends with the old address.
@@ -266,12 +268,6 @@
             if !matches!(answer, Answer::Late) {
                 self.due.remove(&held.overdue);
             }
-            match answer {
-                Answer::Served(..) => self.counts.served.add(),
-                Answer::Refused(_) => self.counts.refused.add(),
-                Answer::Failed => self.counts.failed.add(),
-                Answer::Late => self.counts.late.add(),
-            }
             let _ = reply.send(answer);
         }
         self.forget(id);
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -4,6 +4,7 @@
 //! carries out the module's actions.
 #![forbid(unsafe_code)]
 
+mod body;
 mod clients;
 mod config;
 mod counts;
@@ -11,6 +12,7 @@
 mod driver;
 mod inherit;
 mod log;
+mod operator;
 mod peers;
 mod servers;
 mod stream;
@@ -19,7 +21,6 @@
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::rc::Rc;
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -30,6 +31,7 @@
 use config::Config;
 use counts::Counts;
 use driver::{Driver, Msg};
+use operator::{Operator, CALLERS};
 use peers::Peers;
 use servers::Servers;
 use task::Budget;
@@ -60,9 +62,10 @@
     let (tx, rx) = mpsc::unbounded_channel();
     // Clients use up to a third of the descriptors for their requests, and each of these needs a
     // server's socket too. The rest is for peers that only connect, so that they keep no client out.
-    let all = config.sockets.saturating_sub(RESERVE + OVERFLOW).max(2);
+    let operators = config.operator.map_or(0, |_| CALLERS + 1);
+    let all = config.sockets.saturating_sub(RESERVE + OVERFLOW + operators).max(2);
     let places = all.saturating_sub(config.sockets / 3).max(1);
-    let counts = Rc::new(Counts::default());
+    let counts = Counts::new(config.names.classes());
     let servers = Servers::new(config.figures.clone(), Budget::new(all), counts.clone());
     let mut driver = Driver::new(&config, servers.clone(), peers.clone(), counts.clone(), tx.clone());
     driver.start(&config.known);
@@ -70,20 +73,30 @@
         config.settings,
         config.names,
         config.figures.open_cap,
-        servers,
+        servers.clone(),
         (Budget::new(places), Budget::new(OVERFLOW)),
-        counts,
+        counts.clone(),
         tx.clone(),
     );
+    if let Some(addr) = config.operator {
+        let listener = TcpListener::bind(addr).await?;
+        log::line(format_args!("operators call at {}", listener.local_addr()?));
+        let operator = Operator::new(clients.clone(), servers, counts.clone(), tx.clone());
+        spawn_local(operator.accept(listener));
+    }
     let news = tx.clone();
     spawn_local(async move {
         while hangup.recv().await.is_some() {
             match new_discovery(&path) {
                 Ok(addr) => {
+                    counts.sighup_applied.add();
                     log::line(format_args!("discovery moves to {addr}"));
                     let _ = news.send(Msg::Discovery(addr));
                 }
-                Err(error) => log::line(format_args!("the new configuration is left alone: {error}")),
+                Err(error) => {
+                    counts.sighup_rejected.add();
+                    log::line(format_args!("the new configuration is left alone: {error}"));
+                }
             }
         }
     });
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderValue, HOST};
 use hyper::{Method, Request, StatusCode, Uri};
@@ -19,10 +19,11 @@
 use woodgap::settings::Places;
 use woodgap::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
 
+use crate::body::Outgoing;
 use crate::config::Figures;
 use crate::counts::Counts;
 use crate::discovery::{server_number, List};
-use crate::stream::Stream;
+use crate::stream::{Progress, Stream};
 use crate::task::{AbortOnDrop, Budget, Permit};
 
 /// The longest body of a request or an answer.
@@ -37,6 +38,8 @@
     pub target: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// The node's own question to a server.
+    pub probe: bool,
 }
 
 /// How an attempt ended.
@@ -55,9 +58,9 @@
 
 /// A connection to a server. Closed when dropped.
 struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    /// Set once a write has failed.
-    unwritten: Rc<Cell<bool>>,
+    sender: SendRequest<Outgoing>,
+    /// How far the request at hand has gone out.
+    progress: Rc<Progress>,
     _connection: AbortOnDrop,
     /// The server's epoch when it was opened.
     epoch: u64,
@@ -167,6 +170,11 @@
         (SyncKind::Delta, members)
     }
 
+    /// How many servers are on the list.
+    pub fn listed(&self) -> usize {
+        self.entries.borrow().len()
+    }
+
     fn next_epoch(&self) -> u64 {
         self.epochs.set(self.epochs.get() + 1);
         self.epochs.get()
@@ -262,7 +270,8 @@
         self.counts.dialled.add();
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        let (stream, unwritten) = Stream::new(stream);
+        let progress = Rc::new(Progress::default());
+        let stream = Stream::new(stream, progress.clone(), self.counts.clone());
         let (sender, connection) = http1::Builder::new()
             .max_headers(64)
             .max_buf_size(LONGEST_BODY)
@@ -273,7 +282,7 @@
             let _permit = permit;
             let _ = connection.await;
         });
-        Ok(Link { sender, unwritten, _connection: connection, epoch, idle_since: Instant::now() })
+        Ok(Link { sender, progress, _connection: connection, epoch, idle_since: Instant::now() })
     }
 
     // Attempts.
@@ -314,7 +323,7 @@
                     return Outcome::ConnectFailed.into();
                 }
             }
-            let exchange = exchange(&mut link, request(call, addr, until));
+            let exchange = exchange(&mut link, call, addr, until);
             match timeout_at(until, exchange).await {
                 Err(_) => {
                     self.doubt(server, sent);
@@ -343,6 +352,7 @@
             target: Uri::from_static("/-/healthy"),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            probe: true,
         };
         // A probe waits like a request, but not like a patient one.
         let until = Instant::now() + self.figures.dial_timeout * 2;
@@ -350,8 +360,8 @@
     }
 }
 
-fn request(call: &Call, addr: SocketAddr, until: Instant) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+fn request(call: &Call, addr: SocketAddr, until: Instant, progress: Rc<Progress>) -> Request<Outgoing> {
+    let mut request = Request::new(Outgoing::new(call.body.clone(), progress));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.clone();
     *request.headers_mut() = call.headers.clone();
@@ -366,11 +376,12 @@
     request
 }
 
-async fn exchange(link: &mut Link, request: Request<Full<Bytes>>) -> Exchange {
+async fn exchange(link: &mut Link, call: &Call, addr: SocketAddr, until: Instant) -> Exchange {
+    link.progress.begin(call.probe);
+    let request = request(call, addr, until, link.progress.clone());
     let response = match link.sender.try_send_request(request).await {
         Ok(response) => response,
-        // Only a message that comes back, or whose writing failed, is certain not to have gone out whole.
-        Err(error) if error.message().is_some() || link.unwritten.get() => return Exchange::Unsent,
+        Err(_) if !link.progress.is_whole() => return Exchange::Unsent,
         Err(_) => return Exchange::Broken,
     };
     let (head, body) = response.into_parts();
@@ -419,7 +430,7 @@
             open_cap: 10,
             report: vec!["queue".into(), "util".into()],
         };
-        Servers::new(figures, Budget::new(sockets), Rc::default())
+        Servers::new(figures, Budget::new(sockets), Counts::new(&[]))
     }
 
     fn list(addr: SocketAddr, state: ServerState, complete: bool) -> List {
@@ -430,7 +441,7 @@
 
     fn call() -> Call {
         let (headers, body) = (HeaderMap::new(), Bytes::new());
-        Call { method: Method::POST, target: Uri::from_static("/api"), headers, body }
+        Call { method: Method::POST, target: Uri::from_static("/api"), headers, body, probe: false }
     }
 
     /// A server that answers each request with its name, and none that asks for `/slow` or if the name
@@ -531,7 +542,7 @@
             let stream = TcpStream::from_std(stream).unwrap();
             stream.set_zero_linger().unwrap();
             drop(stream);
-            let exchange = exchange(&mut link, request(&call(), addr, soon())).await;
+            let exchange = exchange(&mut link, &call(), addr, soon()).await;
             assert!(matches!(exchange, Exchange::Unsent));
         };
         LocalSet::new().run_until(run).await;
--- a/src/bin/woodgap/stream.rs
+++ b/src/bin/woodgap/stream.rs
@@ -1,4 +1,4 @@
-//! A server's socket that remembers whether a write to it failed.
+//! A server's socket that tells how far the request at hand has gone out.
 
 use std::cell::Cell;
 use std::io::{self, IoSlice};
@@ -9,25 +9,46 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Each connection carries one request at a time, so once a write has failed the last byte of the
-/// request at hand was never written: it can't have run.
+use crate::counts::Counts;
+
+/// How far the request at hand has gone out. Each connection carries one at a time.
+#[derive(Default)]
+pub struct Progress {
+    /// Its last part was handed to the connection.
+    handed: Cell<bool>,
+    /// Its last byte was written: before that it can't have run.
+    whole: Cell<bool>,
+    /// It is a probe and counts as no attempt.
+    probe: Cell<bool>,
+}
+
+impl Progress {
+    /// Another request begins.
+    pub fn begin(&self, probe: bool) {
+        self.probe.set(probe);
+        self.handed.set(false);
+        self.whole.set(false);
+    }
+
+    pub fn hand(&self) {
+        self.handed.set(true);
+    }
+
+    pub fn is_whole(&self) -> bool {
+        self.whole.get()
+    }
+}
+
+/// A server's socket.
 pub struct Stream {
     socket: TcpStream,
-    unwritten: Rc<Cell<bool>>,
+    progress: Rc<Progress>,
+    counts: Rc<Counts>,
 }
 
 impl Stream {
-    /// The stream, and the mark that it sets when a write fails.
-    pub fn new(socket: TcpStream) -> (Self, Rc<Cell<bool>>) {
-        let unwritten = Rc::new(Cell::new(false));
-        (Stream { socket, unwritten: unwritten.clone() }, unwritten)
-    }
-
-    fn mark(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(written, Poll::Ready(Err(_))) {
-            self.unwritten.set(true);
-        }
-        written
+    pub fn new(socket: TcpStream, progress: Rc<Progress>, counts: Rc<Counts>) -> Self {
+        Stream { socket, progress, counts }
     }
 }
 
@@ -43,8 +64,7 @@
 
 impl AsyncWrite for Stream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.socket).poll_write(cx, data);
-        self.mark(written)
+        Pin::new(&mut self.socket).poll_write(cx, data)
     }
 
     fn poll_write_vectored(
@@ -52,16 +72,21 @@
         cx: &mut Context<'_>,
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.socket).poll_write_vectored(cx, data);
-        self.mark(written)
+        Pin::new(&mut self.socket).poll_write_vectored(cx, data)
     }
 
     fn is_write_vectored(&self) -> bool {
         self.socket.is_write_vectored()
     }
 
+    /// The connection flushes once it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
+        let flushed = Pin::new(&mut self.socket).poll_flush(cx);
+        let Progress { handed, whole, probe } = &*self.progress;
+        if matches!(flushed, Poll::Ready(Ok(()))) && handed.get() && !whole.replace(true) && !probe.get() {
+            self.counts.forwards.add();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -430,6 +430,12 @@
         text
     }
 
+    /// How many listed servers the node avoids now, by its own choice or by hand.
+    pub fn avoided(&self) -> usize {
+        let ejected = |s: &Server| s.ejected.is_some() && !self.mood.panic;
+        self.servers.iter().filter(|s| s.ready && (ejected(s) || self.cut_off(s))).count()
+    }
+
     // Discovery.
 
     fn on_sync(&mut self, kind: SyncKind, members: Vec<Member>, out: &mut Vec<Action>) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -98,6 +98,11 @@
         self.classes.iter().position(|n| n == name)
     }
 
+    /// All classes by their places.
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
     /// The place of a tenant.
     pub fn tenant(&self, name: &str) -> Option<usize> {
         self.tenants.iter().position(|n| n == name)
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -140,6 +140,8 @@
 struct Site {
     node: Child,
     addr: SocketAddr,
+    /// Where operators call, if they may.
+    operator: String,
     does: Vec<Arc<Mutex<Does>>>,
     members: Vec<Value>,
     seen: Receiver<Seen>,
@@ -150,7 +152,7 @@
 }
 
 /// Starts a node and waits until it listens: on `listener`, handed down as descriptor 4, if given.
-fn start(config: &Path, listener: Option<&TcpListener>, env: &[(&str, &str)]) -> (Child, SocketAddr) {
+fn start(config: &Path, listener: Option<&TcpListener>, env: &[(&str, &str)]) -> (Child, SocketAddr, String) {
     let program = env!("CARGO_BIN_EXE_woodgap");
     let mut command = match listener {
         None => Command::new(program),
@@ -167,12 +169,19 @@
     }
     let mut node = command.stderr(Stdio::piped()).spawn().unwrap();
     let mut log = BufReader::new(node.stderr.take().unwrap()).lines();
+    let mut operator = String::new();
     let addr = log
         .by_ref()
-        .find_map(|line| line.unwrap().split_once("listens on ").map(|(_, addr)| addr.parse().unwrap()))
+        .find_map(|line| {
+            let line = line.unwrap();
+            if let Some((_, addr)) = line.split_once("operators call at ") {
+                operator = addr.to_owned();
+            }
+            line.split_once("listens on ").map(|(_, addr)| addr.parse().unwrap())
+        })
         .expect("the node listens");
     thread::spawn(move || log.for_each(drop));
-    (node, addr)
+    (node, addr, operator)
 }
 
 fn signal(node: &Child, name: &str) {
@@ -192,6 +201,15 @@
     }
 
     fn with(servers: usize, limits: Value) -> Site {
+        Site::under(servers, limits, &[])
+    }
+
+    /// One whose operators may call.
+    fn operated(servers: usize) -> Site {
+        Site::under(servers, json!({"sockets": 256}), &[("BALANCER_OPERATOR", "127.0.0.1:0")])
+    }
+
+    fn under(servers: usize, limits: Value, env: &[(&str, &str)]) -> Site {
         let (tx, seen) = channel();
         let does: Vec<_> = (0..servers).map(|_| Arc::new(Mutex::new(Does::Serve))).collect();
         let members: Vec<Value> = does
@@ -224,8 +242,8 @@
         });
         let mut file = tempfile::NamedTempFile::new().unwrap();
         file.write_all(config.to_string().as_bytes()).unwrap();
-        let (node, addr) = start(file.path(), None, &[]);
-        Site { node, addr, does, members, seen, watches, config, file }
+        let (node, addr, operator) = start(file.path(), None, env);
+        Site { node, addr, operator, does, members, seen, watches, config, file }
     }
 
     fn all_do(&self, what: Does) {
@@ -245,6 +263,17 @@
         Message::read(&mut BufReader::new(stream)).expect("an answer")
     }
 
+    fn call(&self, what: &str) -> Message {
+        call(&self.operator, what)
+    }
+
+    /// The figure of this name and labels.
+    fn figure(&self, name: &str) -> u64 {
+        let text = String::from_utf8(self.call("GET /status/metrics").body).unwrap();
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        value.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
+    }
+
     fn ask(&self, class: &str, id: &str) -> Message {
         self.raw(&request(class, id, 60_000))
     }
@@ -279,6 +308,12 @@
     .into_bytes()
 }
 
+/// An operator's call.
+fn call(operator: &str, what: &str) -> Message {
+    let text = format!("{what} HTTP/1.1\r\nHost: operator\r\n\r\n");
+    ask_at(operator.parse().unwrap(), text.as_bytes()).expect("an answer")
+}
+
 /// Waits for a condition.
 fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let start = Instant::now();
@@ -622,12 +657,12 @@
 fn a_process_is_replaced_without_a_lost_connection() {
     let site = Site::new(2);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (mut old, addr) = start(site.file.path(), Some(&listener), &[]);
+    let (mut old, addr, _) = start(site.file.path(), Some(&listener), &[]);
     assert_eq!(addr, listener.local_addr().unwrap());
     let asked = |n: u32| ask_at(addr, &request("pay", &n.to_string(), 60_000)).map(|m| m.status());
     assert_eq!(asked(0), Some(200));
     assert_eq!(site.requests().len(), 1);
-    let (mut new, _) = start(site.file.path(), Some(&listener), &[]);
+    let (mut new, _, _) = start(site.file.path(), Some(&listener), &[]);
     site.all_do(Does::Hold);
     // Taken by either process, as both accept.
     let held: Vec<_> = (1..9)
@@ -656,3 +691,84 @@
     new.kill().unwrap();
     new.wait().unwrap();
 }
+
+#[test]
+fn the_figures_tell_what_became_of_requests() {
+    let site = Site::operated(2);
+    assert_eq!(site.call("GET /status").status(), 200);
+    for (what, status) in [("POST /status", 405), ("GET /standby", 405), ("GET /other", 404)] {
+        assert_eq!(site.call(what).status(), status, "{what}");
+    }
+    let first = site.call("GET /status/metrics");
+    assert!(first.header("content-type").starts_with("text/plain"));
+    for class in ["look", "pay", "put"] {
+        assert_eq!(site.figure(&format!("svc_succeeded_total{{service=\"{class}\"}}")), 0);
+    }
+    assert_eq!((site.figure("svc_discovered"), site.figure("svc_ejected")), (2, 0));
+    (0..3).for_each(|n| assert_eq!(site.ask("pay", &n.to_string()).status(), 200));
+    site.all_do(Does::Answer("503 Full\r\nX-Turned-Away: 1"));
+    assert_eq!(site.ask("look", "3").status(), 503);
+    let forwards = site.requests().len() as u64;
+    site.all_do(Does::Break);
+    assert_eq!(site.ask("pay", "4").status(), 502);
+    assert_eq!(site.figure("svc_succeeded_total{service=\"pay\"}"), 3);
+    assert_eq!(site.figure("svc_declined_total{service=\"look\"}"), 1);
+    assert_eq!(site.figure("svc_aborted_total{service=\"pay\"}"), 1);
+    assert_eq!(site.figure("svc_forwards_total"), forwards + 1);
+    assert_eq!(site.figure("svc_outstanding"), 0);
+    site.all_do(Does::Hold);
+    let mut held = site.dial();
+    held.write_all(&request("pay", "5", 60_000)).unwrap();
+    assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Request(..))));
+    until("it is outstanding", || site.figure("svc_outstanding") == 1);
+}
+
+// A caller waits a second, whoever else is stuck: the waits are longer for the sake of a busy machine.
+#[test]
+fn stuck_callers_keep_no_operator_out_and_are_closed() {
+    let site = Site::operated(1);
+    let mut stuck: Vec<TcpStream> =
+        (0..20).map(|_| TcpStream::connect(site.operator.parse::<SocketAddr>().unwrap()).unwrap()).collect();
+    assert_eq!(site.call("GET /status").status(), 200);
+    for stream in &mut stuck {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        assert_eq!(stream.read(&mut [0; 1]).expect("closed"), 0);
+    }
+}
+
+#[test]
+fn a_drain_sends_clients_away_and_can_be_undone() {
+    let mut site = Site::operated(1);
+    let ready = |site: &Site| site.raw(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status();
+    let mut idle = site.dial();
+    idle.write_all(&request("pay", "1", 60_000)).unwrap();
+    let mut idle = BufReader::new(idle);
+    assert_eq!(Message::read(&mut idle).unwrap().status(), 200);
+    site.all_do(Does::Hold);
+    let mut busy = site.dial();
+    busy.write_all(&request("pay", "2", 60_000)).unwrap();
+    until("it is with the server", || site.requests().iter().any(|(_, m)| m.header("x-txn") == "2"));
+    assert_eq!(site.call("POST /standby").status(), 200);
+    assert_eq!((ready(&site), site.call("GET /status").status()), (503, 503));
+    assert!(Message::read(&mut idle).is_none(), "an idle connection closes");
+    site.all_do(Does::Serve);
+    let answer = Message::read(&mut BufReader::new(busy)).expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    // What still comes is served.
+    let late = site.ask("pay", "3");
+    assert_eq!((late.status(), late.header("connection")), (200, "close"));
+    assert!(site.node.try_wait().unwrap().is_none());
+    assert_eq!(site.call("POST /active").status(), 200);
+    assert_eq!((ready(&site), site.call("GET /status").status()), (200, 200));
+    assert_eq!(site.ask("pay", "4").header("connection"), "");
+    // SIGTERM is not undone.
+    site.all_do(Does::Hold);
+    let mut last = site.dial();
+    last.write_all(&request("pay", "5", 60_000)).unwrap();
+    until("it is with the server", || site.requests().iter().any(|(_, m)| m.header("x-txn") == "5"));
+    site.signal("-TERM");
+    until("it drains", || ready(&site) == 503);
+    assert_eq!(site.call("POST /active").status(), 409);
+    site.all_do(Does::Serve);
+    assert!(site.node.wait().unwrap().success());
+}
