Leave a server out on the operators' word, over lists and a change of process

The module keeps the set apart from the list (on_maintenance); put back, a server is cold from then (warmth), as the list may be late. bans.rs keeps the ids in $TMPDIR, written and renamed before the yes, and a process beside it reads them every 0.1 s.

--- a/src/api.rs
+++ b/src/api.rs
@@ -348,6 +348,13 @@
         /// The server's load report.
         load: Vec<f64>,
     },
+    /// Operators take a server out, or put it back: it may have restarted meanwhile.
+    Maintenance {
+        /// The server, on the list or not.
+        server: ServerId,
+        /// Whether it is out from now on, whatever any list says.
+        out: bool,
+    },
     /// A timer fell due.
     Timer(TimerId),
     /// A message from another node.
--- /dev/null
+++ b/src/bin/woodgap/bans.rs
@@ -0,0 +1,126 @@
+//! Servers that operators have taken out, kept where the process that follows finds them.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+/// The ids of servers that are left out until operators put them back.
+pub struct Bans {
+    /// Without one they end with the process.
+    path: Option<PathBuf>,
+    ids: BTreeSet<String>,
+}
+
+impl Bans {
+    /// Those of the file of the node of this name.
+    pub fn open(dir: Option<&Path>, name: &str) -> Bans {
+        let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
+        let path = dir.map(|dir| dir.join(format!("woodgap-{name}-out.json")));
+        let mut bans = Bans { path, ids: BTreeSet::new() };
+        bans.follow();
+        bans
+    }
+
+    pub fn ids(&self) -> impl Iterator<Item = &String> {
+        self.ids.iter()
+    }
+
+    pub fn holds(&self, id: &str) -> bool {
+        self.ids.contains(id)
+    }
+
+    /// Takes over what another process has written; the ids that changed, with whether they are out.
+    pub fn follow(&mut self) -> Vec<(String, bool)> {
+        let Some(ids) = self.path.as_deref().and_then(read) else { return Vec::new() };
+        let changed = self.ids.symmetric_difference(&ids).map(|id| (id.clone(), ids.contains(id))).collect();
+        self.ids = ids;
+        changed
+    }
+
+    /// Takes a server out or puts it back, on file first; all ids that changed.
+    pub fn set(&mut self, id: &str, out: bool) -> io::Result<Vec<(String, bool)>> {
+        let mut changed = self.follow();
+        if self.holds(id) != out {
+            let mut ids = self.ids.clone();
+            if out {
+                ids.insert(id.to_owned());
+            } else {
+                ids.remove(id);
+            }
+            if let Some(path) = &self.path {
+                write(path, &ids)?;
+            }
+            self.ids = ids;
+            changed.retain(|(other, _)| other != id);
+            changed.push((id.to_owned(), out));
+        }
+        Ok(changed)
+    }
+}
+
+/// What the file holds; `None` where there is none or it can't be read, which changes nothing.
+fn read(path: &Path) -> Option<BTreeSet<String>> {
+    let text = match fs::read(path) {
+        Ok(text) => text,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
+        Err(error) => {
+            crate::log::line(format_args!("{}: {error}", path.display()));
+            return None;
+        }
+    };
+    let ids = serde_json::from_slice(&text);
+    ids.map_err(|error| crate::log::line(format_args!("{} is damaged: {error}", path.display()))).ok()
+}
+
+/// Another process, or the next one, finds the old file or the new one whole.
+fn write(path: &Path, ids: &BTreeSet<String>) -> io::Result<()> {
+    let part = path.with_extension(format!("{}.part", std::process::id()));
+    let mut file = fs::File::create(&part)?;
+    file.write_all(&serde_json::to_vec(ids)?)?;
+    file.sync_all()?;
+    fs::rename(&part, path)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bans_outlive_a_process_and_reach_one_beside_it() {
+        let dir = tempfile::tempdir().unwrap();
+        let mut old = Bans::open(Some(dir.path()), "n/0");
+        assert_eq!(old.set("s-1", true).unwrap(), [("s-1".to_owned(), true)]);
+        assert!(old.set("s-1", true).unwrap().is_empty(), "repeated");
+        let mut new = Bans::open(Some(dir.path()), "n/0");
+        assert!(new.holds("s-1") && !new.holds("s-2"));
+        new.set("s-2", true).unwrap();
+        new.set("s-1", false).unwrap();
+        assert_eq!(old.follow(), [("s-1".to_owned(), false), ("s-2".to_owned(), true)]);
+        assert!(old.follow().is_empty());
+        // Another node's are its own.
+        assert_eq!(Bans::open(Some(dir.path()), "n1").ids().count(), 0);
+    }
+
+    #[test]
+    fn a_damaged_file_ends_no_ban_and_is_replaced() {
+        let dir = tempfile::tempdir().unwrap();
+        let mut bans = Bans::open(Some(dir.path()), "n0");
+        bans.set("s-1", true).unwrap();
+        let path = bans.path.clone().unwrap();
+        fs::write(&path, "[\"s-").unwrap();
+        assert!(bans.follow().is_empty() && bans.holds("s-1"));
+        assert!(!Bans::open(Some(dir.path()), "n0").holds("s-1"));
+        bans.set("s-2", true).unwrap();
+        assert_eq!(Bans::open(Some(dir.path()), "n0").ids().count(), 2);
+    }
+
+    // A yes means that it holds: what can't be kept is not done.
+    #[test]
+    fn a_ban_that_cannot_be_written_is_none() {
+        let dir = tempfile::tempdir().unwrap();
+        let mut bans = Bans::open(Some(&dir.path().join("gone")), "n0");
+        assert!(bans.set("s-1", true).is_err());
+        assert!(!bans.holds("s-1"));
+    }
+}
--- a/src/bin/woodgap/config.rs
+++ b/src/bin/woodgap/config.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::error::Error;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -54,6 +55,8 @@
     pub discovery: SocketAddr,
     /// Where operators call, if they do.
     pub operator: Option<SocketAddr>,
+    /// The folder that the process after this one finds as it was.
+    pub scratch: Option<PathBuf>,
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
@@ -112,6 +115,7 @@
             listen: address("BALANCER_LISTEN", file.listen)?,
             discovery: address("BALANCER_DISCOVERY", file.discovery)?,
             operator,
+            scratch: env.get("TMPDIR").map(PathBuf::from),
             seed: seed(&file.seed),
             sockets: file.limits.sockets,
             peer_listen: file.peer_listen.as_ref().map(parse).transpose()?,
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -16,6 +16,7 @@
     SyncKind, TenantId, TimerId,
 };
 
+use crate::bans::Bans;
 use crate::counts::{Counts, REPORT};
 use crate::discovery::{watch, List, News};
 use crate::peers::Peers;
@@ -27,6 +28,9 @@
 const OVERDUE: Duration = Duration::from_millis(5);
 /// Pause before a watch that the module does not ask for is opened again.
 const AGAIN: Duration = Duration::from_millis(500);
+/// How often the file of servers left out is read: another process may have written it, and what it
+/// said yes to binds this one within the time of a drain.
+const FOLLOW: Duration = Duration::from_millis(100);
 
 /// A final answer.
 pub enum Answer {
@@ -77,10 +81,25 @@
     },
     /// Discovery answers at this address from now on.
     Discovery(SocketAddr),
+    /// Leave a server out, or put it back.
+    Maintain {
+        id: String,
+        out: bool,
+        reply: oneshot::Sender<Maintained>,
+    },
     /// How many listed servers are avoided?
     Avoided(oneshot::Sender<usize>),
 }
 
+/// What became of a call to leave a server out or put it back.
+pub enum Maintained {
+    Done,
+    /// No server of that id was ever listed.
+    Unknown,
+    /// It could not be kept for the next process, and was not done.
+    NotKept(std::io::Error),
+}
+
 /// An attempt that is out.
 struct Out {
     server: ServerId,
@@ -106,6 +125,7 @@
     Tidy,
     Watch,
     Report,
+    Bans,
 }
 
 pub struct Driver {
@@ -126,6 +146,8 @@
     watch: u64,
     watching: Option<AbortOnDrop>,
     tx: mpsc::UnboundedSender<Msg>,
+    /// `None` where operators don't call.
+    bans: Option<Bans>,
 }
 
 /// The module's clock: Unix time at the start and monotonic from there, so that the times at
@@ -166,11 +188,18 @@
             watch: 0,
             watching: None,
             tx,
+            bans: None,
         }
     }
 
-    /// Starts the module with the list that the node last had.
-    pub fn start(&mut self, known: &List) {
+    /// Starts the module with the list that the node last had and the servers that are left out.
+    pub fn start(&mut self, known: &List, bans: Option<Bans>) {
+        if let Some(bans) = &bans {
+            let out: Vec<_> = bans.ids().map(|id| (id.clone(), true)).collect();
+            self.heed(out);
+            self.due.insert(Due::Bans, FOLLOW);
+        }
+        self.bans = bans;
         self.revision = known.revision.unwrap_or(0);
         let (_, members) = self.servers.apply(known);
         self.events.push_back(Event::Sync { kind: SyncKind::Cached, members });
@@ -205,6 +234,11 @@
                 self.due.insert(Due::Tidy, TIDY);
             }
             Due::Watch => self.subscribe(),
+            Due::Bans => {
+                let changed = self.bans.as_mut().map(Bans::follow).unwrap_or_default();
+                self.heed(changed);
+                self.due.insert(Due::Bans, FOLLOW);
+            }
             Due::Report => {
                 crate::log::line(format_args!("{}; {}", self.counts.report(), self.balancer.mood()));
                 self.due.insert(Due::Report, REPORT);
@@ -242,6 +276,12 @@
             Msg::News { watch, news } if watch == self.watch => self.news(news),
             Msg::News { .. } => {}
             Msg::Peer { from, data } => self.events.push_back(Event::Peer { from, data }),
+            Msg::Maintain { id, out, reply } => {
+                let done = self.maintain(&id, out);
+                // The yes says that nothing more is decided for it.
+                self.settle();
+                let _ = reply.send(done);
+            }
             Msg::Avoided(reply) => drop(reply.send(self.balancer.avoided())),
             Msg::Discovery(addr) => {
                 self.discovery = addr;
@@ -251,6 +291,32 @@
         }
     }
 
+    fn maintain(&mut self, id: &str, out: bool) -> Maintained {
+        let Some(bans) = &mut self.bans else { return Maintained::Unknown };
+        if !self.servers.was_listed(id) && !bans.holds(id) {
+            return Maintained::Unknown;
+        }
+        match bans.set(id, out) {
+            Ok(changed) => {
+                self.heed(changed);
+                Maintained::Done
+            }
+            Err(error) => {
+                crate::log::line(format_args!("server {id} stays as it was: {error}"));
+                Maintained::NotKept(error)
+            }
+        }
+    }
+
+    /// Servers were left out or put back.
+    fn heed(&mut self, changed: Vec<(String, bool)>) {
+        for (id, out) in changed {
+            crate::log::line(format_args!("server {id} is {}", if out { "left out" } else { "put back" }));
+            let server = self.servers.maintain(&id, out);
+            self.events.push_back(Event::Maintenance { server, out });
+        }
+    }
+
     fn request(&mut self, arrival: Arrival) {
         self.counts.taken.add();
         let Arrival { id, class, tenant, key, repeat, cost, deadline, call, reply } = arrival;
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -4,6 +4,7 @@
 //! carries out the module's actions.
 #![forbid(unsafe_code)]
 
+mod bans;
 mod body;
 mod clients;
 mod config;
@@ -27,6 +28,7 @@
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
 
+use bans::Bans;
 use clients::Clients;
 use config::Config;
 use counts::Counts;
@@ -68,7 +70,8 @@
     let counts = Counts::new(config.names.classes());
     let servers = Servers::new(config.figures.clone(), Budget::new(all), counts.clone());
     let mut driver = Driver::new(&config, servers.clone(), peers.clone(), counts.clone(), tx.clone());
-    driver.start(&config.known);
+    let bans = config.operator.map(|_| Bans::open(config.scratch.as_deref(), &config.name));
+    driver.start(&config.known, bans);
     let clients = Clients::new(
         config.settings,
         config.names,
--- a/src/bin/woodgap/operator.rs
+++ b/src/bin/woodgap/operator.rs
@@ -19,7 +19,7 @@
 
 use crate::clients::Clients;
 use crate::counts::{Counts, Gauges};
-use crate::driver::Msg;
+use crate::driver::{Maintained, Msg};
 use crate::servers::Servers;
 use crate::task::AbortOnDrop;
 
@@ -92,7 +92,7 @@
     async fn call(&self, request: Request<Incoming>) -> Reply {
         let wanted = match request.uri().path() {
             "/status" | "/status/metrics" => Method::GET,
-            "/standby" | "/active" => Method::POST,
+            "/standby" | "/active" | "/maintenance/enter" | "/maintenance/exit" => Method::POST,
             _ => return reply(StatusCode::NOT_FOUND, "no such call\n"),
         };
         if request.method() != wanted {
@@ -111,7 +111,23 @@
             }
             "/active" if self.clients.activate() => reply(StatusCode::OK, "active\n"),
             "/active" => reply(StatusCode::CONFLICT, "this process is ending\n"),
-            _ => self.figures().await,
+            "/status/metrics" => self.figures().await,
+            path => self.maintain(request.uri().query().unwrap_or(""), path.ends_with("enter")).await,
+        }
+    }
+
+    async fn maintain(&self, query: &str, out: bool) -> Reply {
+        let Some(id) = query.split('&').find_map(|pair| pair.strip_prefix("member=")).and_then(decoded)
+        else {
+            return reply(StatusCode::BAD_REQUEST, "member names no server\n");
+        };
+        match self.ask(|reply| Msg::Maintain { id, out, reply }).await {
+            Some(Maintained::Done) => reply(StatusCode::OK, if out { "left out\n" } else { "put back\n" }),
+            Some(Maintained::Unknown) => reply(StatusCode::NOT_FOUND, "no such server was ever listed\n"),
+            Some(Maintained::NotKept(error)) => {
+                reply(StatusCode::INTERNAL_SERVER_ERROR, format!("not done: {error}\n"))
+            }
+            None => not_answered(),
         }
     }
 
@@ -142,3 +158,35 @@
 fn not_answered() -> Reply {
     reply(StatusCode::INTERNAL_SERVER_ERROR, "the node did not answer\n")
 }
+
+/// The text of a query's value; `None` if it is empty or none.
+fn decoded(value: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(value.len());
+    let mut rest = value.bytes();
+    while let Some(byte) = rest.next() {
+        bytes.push(match byte {
+            b'%' => {
+                let digit = |byte: Option<u8>| char::from(byte?).to_digit(16);
+                let (high, low) = (digit(rest.next())?, digit(rest.next())?);
+                (high * 16 + low) as u8
+            }
+            b'+' => b' ',
+            other => other,
+        });
+    }
+    String::from_utf8(bytes).ok().filter(|text| !text.is_empty())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn values_of_a_query_are_decoded() {
+        assert_eq!(decoded("s-5be2a07c").as_deref(), Some("s-5be2a07c"));
+        assert_eq!(decoded("a%2Fb%c3%A9+c").as_deref(), Some("a/b\u{e9} c"));
+        for wrong in ["", "%", "%2", "%zz", "%ff", "%+1"] {
+            assert_eq!(decoded(wrong), None, "{wrong}");
+        }
+    }
+}
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -1,7 +1,7 @@
 //! The servers' side: connections, attempts and probes, and what became of them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +18,7 @@
 use tokio::time::{timeout_at, Instant};
 use woodgap::settings::Places;
 use woodgap::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::body::Outgoing;
 use crate::config::Figures;
@@ -32,6 +33,9 @@
 /// the server's close on its way ends as a reset, and an unsafe one can't be sent again.
 const REUSE: f64 = 0.6;
 
+/// Ids that are remembered past their time on the list.
+const EVER: usize = 1 << 16;
+
 /// A client's request as it goes on to servers, headers of one connection left out.
 pub struct Call {
     pub method: Method,
@@ -68,6 +72,7 @@
 }
 
 struct Entry {
+    state: ServerState,
     addr: SocketAddr,
     since_ms: u64,
     /// New with each restart, change of address or return to the list: connections of another epoch
@@ -81,6 +86,18 @@
     heard: Option<Instant>,
 }
 
+impl Entry {
+    /// Bars a server that drains or that operators have taken out, from when it first was.
+    fn bar(&mut self, out: bool) {
+        if self.state == ServerState::InService && !out {
+            self.barred = None;
+        } else {
+            self.barred.get_or_insert_with(Instant::now);
+            self.idle.clear();
+        }
+    }
+}
+
 /// All servers on the list.
 pub struct Servers {
     figures: Figures,
@@ -88,6 +105,10 @@
     counts: Rc<Counts>,
     entries: RefCell<HashMap<ServerId, Entry>>,
     names: RefCell<HashMap<u32, String>>,
+    /// Servers that operators have taken out, on the list or not.
+    out: RefCell<HashSet<ServerId>>,
+    /// Hashes of the ids that were ever listed.
+    ever: RefCell<HashSet<u64>>,
     epochs: Cell<u64>,
     places: RefCell<Places>,
 }
@@ -109,6 +130,8 @@
             counts,
             entries: RefCell::default(),
             names: RefCell::default(),
+            out: RefCell::default(),
+            ever: RefCell::default(),
             epochs: Cell::new(0),
             places: RefCell::default(),
         })
@@ -121,6 +144,7 @@
         let mut entries = self.entries.borrow_mut();
         let mut names = self.names.borrow_mut();
         let mut places = self.places.borrow_mut();
+        let (out, mut ever) = (self.out.borrow(), self.ever.borrow_mut());
         let mut members = Vec::with_capacity(list.entries.len());
         for entry in &list.entries {
             let number = server_number(&entry.id, &names);
@@ -134,13 +158,19 @@
                 size: entry.size,
                 since: entry.up_since_ms.saturating_mul(1000),
             });
+            if ever.len() < EVER {
+                ever.insert(xxh3_64(entry.id.as_bytes()));
+            }
             if entry.state == ServerState::Terminated {
                 entries.remove(&server);
-                names.remove(&number);
+                if !out.contains(&server) {
+                    names.remove(&number);
+                }
                 continue;
             }
             names.insert(number, entry.id.clone());
             let known = entries.entry(server).or_insert_with(|| Entry {
+                state: entry.state,
                 addr: entry.addr,
                 since_ms: entry.up_since_ms,
                 epoch: self.next_epoch(),
@@ -154,22 +184,48 @@
                 known.epoch = self.next_epoch();
                 known.idle.clear();
             }
-            if entry.state == ServerState::InService {
-                known.barred = None;
-            } else {
-                known.barred.get_or_insert_with(Instant::now);
-                known.idle.clear();
-            }
+            known.state = entry.state;
+            known.bar(out.contains(&server));
         }
         if list.complete {
-            let listed: std::collections::HashSet<ServerId> = members.iter().map(|m| m.server).collect();
+            let listed: HashSet<ServerId> = members.iter().map(|m| m.server).collect();
             entries.retain(|server, _| listed.contains(server));
-            names.retain(|&number, _| listed.contains(&ServerId(number)));
+            let kept = |server| listed.contains(&server) || out.contains(&server);
+            names.retain(|&number, _| kept(ServerId(number)));
             return (SyncKind::Full, members);
         }
         (SyncKind::Delta, members)
     }
 
+    /// Whether a server of this id is or was on the list.
+    pub fn was_listed(&self, id: &str) -> bool {
+        let names = self.names.borrow();
+        let listed = names.get(&server_number(id, &names)).is_some_and(|name| name == id);
+        listed || self.ever.borrow().contains(&xxh3_64(id.as_bytes()))
+    }
+
+    /// Takes a server out or puts it back; its number, which is kept for it while it is out.
+    pub fn maintain(&self, id: &str, out: bool) -> ServerId {
+        let mut names = self.names.borrow_mut();
+        let number = server_number(id, &names);
+        let server = ServerId(number);
+        let mut entries = self.entries.borrow_mut();
+        let entry = entries.get_mut(&server);
+        if out {
+            self.out.borrow_mut().insert(server);
+            names.insert(number, id.to_owned());
+        } else {
+            self.out.borrow_mut().remove(&server);
+            if entry.is_none() {
+                names.remove(&number);
+            }
+        }
+        if let Some(entry) = entry {
+            entry.bar(out);
+        }
+        server
+    }
+
     /// How many servers are on the list.
     pub fn listed(&self) -> usize {
         self.entries.borrow().len()
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 //! it. Every exception only ever makes a request walk on from its slot to the next owner that
 //! can carry it: see `Balancer::route`.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use fastrand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -172,8 +172,11 @@
 
 struct Server {
     member: Member,
-    /// On the list and in service.
+    /// On the list and in service, and not taken out by operators.
     ready: bool,
+    listed: bool,
+    /// When operators put it back: it is cold from then, whatever the list knows of its start.
+    returned: Micros,
     inflight: u32,
     /// Since when an attempt is out without a word from the server.
     quiet_since: Micros,
@@ -340,6 +343,8 @@
     sweep: Micros,
     servers: Vec<Server>,
     index: HashMap<ServerId, usize>,
+    /// Servers that operators have taken out, on the list or not.
+    out: BTreeSet<ServerId>,
     table: Vec<u32>,
     stale_table: bool,
     size_total: f64,
@@ -376,6 +381,7 @@
             now: 0,
             servers: Vec::new(),
             index: HashMap::new(),
+            out: BTreeSet::new(),
             table: Vec::new(),
             stale_table: false,
             size_total: 0.0,
@@ -406,6 +412,7 @@
             Event::Closed(closed) => self.on_closed(closed, out),
             Event::Lapsed(id) => self.end(id, out),
             Event::Probed { server, outcome, .. } => self.on_probed(server, outcome),
+            Event::Maintenance { server, out } => self.on_maintenance(server, out),
             Event::Timer(TIMER_SWEEP) => self.sweep(out),
             Event::Timer(TimerId(n)) if n >= TIMER_REST => self.give_turn(Key(n - TIMER_REST), out),
             Event::Timer(TIMER_SUBSCRIBE) if !self.subscribed => out.push(Action::Subscribe),
@@ -416,11 +423,9 @@
     /// What governs the decisions at present, for the host's log: the servers named are those that
     /// do not carry all their slots.
     pub fn mood(&self) -> String {
-        let Mood { limit, strain, late, failing, ejected, .. } = self.mood;
-        let mut text = format!(
-            "in flight {} of {limit:.1}, flow {:.1} strain {strain:.2}, ",
-            self.inflight, self.mood.flow
-        );
+        let Mood { limit, flow, strain, late, failing, ejected, .. } = self.mood;
+        let mut text =
+            format!("in flight {} of {limit:.1}, flow {flow:.1} strain {strain:.2}, ", self.inflight);
         text += &format!("late {late:.2}, failing {failing:.2}, ejected {ejected:.2}");
         for server in self.servers.iter().filter(|s| s.ready && self.share(s) < 1.0) {
             let Server { inflight, .. } = server;
@@ -433,7 +438,7 @@
     /// How many listed servers the node avoids now, by its own choice or by hand.
     pub fn avoided(&self) -> usize {
         let ejected = |s: &Server| s.ejected.is_some() && !self.mood.panic;
-        self.servers.iter().filter(|s| s.ready && (ejected(s) || self.cut_off(s))).count()
+        self.servers.iter().filter(|s| s.listed && (!s.ready || ejected(s) || self.cut_off(s))).count()
     }
 
     // Discovery.
@@ -463,8 +468,8 @@
             let mut listed: Vec<ServerId> = members.iter().map(|m| m.server).collect();
             listed.sort_unstable();
             for server in &mut self.servers {
-                if server.ready && listed.binary_search(&server.member.server).is_err() {
-                    server.ready = false;
+                if server.listed && listed.binary_search(&server.member.server).is_err() {
+                    (server.listed, server.ready) = (false, false);
                     self.stale_table = true;
                 }
             }
@@ -480,7 +485,8 @@
     }
 
     fn on_member(&mut self, mut member: Member) {
-        let ready = member.state == ServerState::InService;
+        let listed = member.state == ServerState::InService;
+        let ready = listed && !self.out.contains(&member.server);
         let unweighted = matches!(self.settings.weight_source, WeightSource::Off | WeightSource::Live);
         if unweighted || !member.size.is_finite() || member.size <= 0.0 {
             member.size = 1.0;
@@ -488,24 +494,32 @@
         // Nodes begin apart within their first attempt, or all would send it at once.
         let budget = self.rng.f64();
         let Some(&i) = self.index.get(&member.server) else {
-            if ready {
+            if listed {
                 self.stale_table = true;
                 self.index.insert(member.server, self.servers.len());
-                self.servers.push(Server::new(member, budget, self.settings.classes.len()));
+                let new = Server::new(member, budget, self.settings.classes.len());
+                self.servers.push(Server { ready, ..new });
             }
             return;
         };
         let old = &mut self.servers[i];
         self.stale_table |= old.ready != ready || old.member.size != member.size;
         if member.since != old.member.since {
-            // A restarted process owes nothing to what the old one did.
-            let inflight = old.inflight;
-            let new = Server::new(member, budget, self.settings.classes.len());
-            *old = Server { inflight, quiet_since: self.now, ..new };
+            old.restart(member, budget, self.now);
         } else {
             old.member = member;
         }
-        old.ready = ready;
+        (old.listed, old.ready) = (listed, ready);
+    }
+
+    /// Operators take a server out or put it back. What it was says nothing of the process it is now.
+    fn on_maintenance(&mut self, id: ServerId, out: bool) {
+        let changed = if out { self.out.insert(id) } else { self.out.remove(&id) };
+        let Some(&i) = self.index.get(&id).filter(|_| changed) else { return };
+        let (server, budget) = (&mut self.servers[i], self.rng.f64());
+        server.restart(server.member.clone(), budget, self.now);
+        (server.returned, server.ready) = (self.now, server.listed && !out);
+        self.stale_table = true;
     }
 
     /// Rebuilds the table, once for all changes since the last request.
@@ -513,7 +527,7 @@
         if !std::mem::take(&mut self.stale_table) {
             return;
         }
-        self.servers.retain(|s| s.ready || s.inflight > 0);
+        self.servers.retain(|s| s.listed || s.inflight > 0);
         self.index = self.servers.iter().enumerate().map(|(i, s)| (s.member.server, i)).collect();
         let ready = self.servers.iter().enumerate().filter(|(_, s)| s.ready);
         let (places, pairs): (Vec<u32>, Vec<_>) =
@@ -530,8 +544,9 @@
     /// A part of capacity that a cold server surely has: it grows evenly from its start.
     fn warmth(&self, server: &Server) -> f64 {
         let ramp = self.settings.ramp_time;
-        let age = self.now.saturating_sub(server.member.since);
-        if server.member.since == 0 || age >= ramp {
+        let since = server.member.since.max(server.returned);
+        let age = self.now.saturating_sub(since);
+        if since == 0 || age >= ramp {
             return 1.0;
         }
         let start = self.settings.start_capacity.clamp(0.0, 1.0);
@@ -583,8 +598,7 @@
         server.pace.add(ratio * warmth, PACE_MEMORY);
         if !hung && warmth >= 1.0 {
             self.kinds.entry(server.member.kind).or_default().add(ratio, 3.0 * PACE_MEMORY);
-            let sign = f64::from(u8::from(ratio > STRAINED));
-            self.mood.strained += sign;
+            self.mood.strained += f64::from(u8::from(ratio > STRAINED));
             self.mood.measured += 1.0;
             let kinds = self.kinds.values().map(|kind| kind.mean(1.0));
             self.quickest = kinds.fold(f64::INFINITY, f64::min);
@@ -646,7 +660,8 @@
             if seen.len() > WALK_OWNERS {
                 break;
             }
-            if heed_bars && server.bars[pending.class].holds(self.now) {
+            let bar = &server.bars[pending.class];
+            if heed_bars && bar.until.is_some_and(|until| self.now < until || bar.trial) {
                 continue;
             }
             let due = server.ejected.is_some_and(|until| self.now >= until && !server.trial);
@@ -938,13 +953,11 @@
         } else if !out_still {
             // Resends of what may have run or was turned away as full feed a jam: there is a budget.
             let free = outcome == Outcome::ConnectFailed;
-            let paid = free || self.retries >= 1.0;
-            self.retries -= f64::from(u8::from(paid && !free));
-            if paid && outcome != Outcome::Moot {
-                self.send_or_conclude(id, out);
-            } else {
-                self.conclude(id, out);
+            if outcome == Outcome::Moot || !(free || self.retries >= 1.0) {
+                return self.conclude(id, out);
             }
+            self.retries -= f64::from(u8::from(!free));
+            self.send_or_conclude(id, out);
         }
     }
 
@@ -1068,14 +1081,12 @@
     }
 
     fn on_probed(&mut self, id: ServerId, outcome: Outcome) {
-        match self.index.get(&id) {
-            Some(&i) if outcome == Outcome::Ok => {
-                self.servers[i].reinstate();
-                self.silent.entry(self.servers[i].member.zone).or_default().clear();
-            }
-            Some(&i) => self.eject(i),
-            None => {}
+        let Some(&i) = self.index.get(&id) else { return };
+        if outcome != Outcome::Ok {
+            return self.eject(i);
         }
+        self.servers[i].reinstate();
+        self.silent.entry(self.servers[i].member.zone).or_default().clear();
     }
 
     // The regular look-over.
@@ -1114,7 +1125,12 @@
                         out.push(Action::Probe(server.member.server));
                     }
                 }
-                None => server.correct_share(),
+                None => {
+                    server.share = (server.share + REGAIN).min(1.0);
+                    if server.share >= 1.0 {
+                        server.ejections = 0;
+                    }
+                }
             }
         }
         self.mood.able = able;
@@ -1225,16 +1241,12 @@
     }
 }
 
-impl Bar {
-    fn holds(&self, now: Micros) -> bool {
-        self.until.is_some_and(|until| now < until || self.trial)
-    }
-}
-
 impl Server {
     fn new(member: Member, budget: f64, classes: usize) -> Self {
         Server {
-            ready: member.state == ServerState::InService,
+            ready: true,
+            listed: true,
+            returned: 0,
             member,
             inflight: 0,
             quiet_since: 0,
@@ -1249,6 +1261,13 @@
         }
     }
 
+    /// A restarted process owes nothing to what the old one did.
+    fn restart(&mut self, member: Member, budget: f64, now: Micros) {
+        let Server { inflight, listed, returned, .. } = *self;
+        let new = Server::new(member, budget, self.bars.len());
+        *self = Server { inflight, listed, returned, quiet_since: now, ..new };
+    }
+
     /// Back from ejection, with few slots at first.
     fn reinstate(&mut self) {
         if self.ejected.take().is_some() {
@@ -1257,12 +1276,4 @@
             self.failing = 0.0;
         }
     }
-
-    /// Fast down, slow up: a server slower than its classes' norms carries fewer of its slots.
-    fn correct_share(&mut self) {
-        self.share = (self.share + REGAIN).min(1.0);
-        if self.share >= 1.0 {
-            self.ejections = 0;
-        }
-    }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -792,3 +792,62 @@
     }
     assert!(sent_to > 120, "{sent_to}");
 }
+
+// Operators restart a server that they took out: no list may bring it back before they do.
+#[test]
+fn a_server_taken_out_gets_nothing_until_it_is_put_back() {
+    let mut node = Node::fleet(4);
+    let out = ServerId(1);
+    assert!((0..200).any(|n| node.place(n, 0, n) == out));
+    node.event(Event::Maintenance { server: out, out: true });
+    assert_eq!(node.balancer.avoided(), 1);
+    let restarted = Member { since: node.now, ..member(1) };
+    let lists = [
+        (SyncKind::Full, (0..4).map(member).collect()),
+        (SyncKind::Delta, vec![restarted.clone()]),
+        (SyncKind::Full, vec![member(0), member(2), member(3)]),
+        (SyncKind::Delta, vec![restarted]),
+    ];
+    let mut next = 1_000;
+    for (kind, members) in lists {
+        node.sync(kind, members);
+        for n in next..next + 100 {
+            assert_ne!(node.place(n, 0, n), out);
+        }
+        next += 100;
+    }
+    // A second call to put it back changes nothing.
+    node.event(Event::Maintenance { server: out, out: false });
+    node.event(Event::Maintenance { server: out, out: false });
+    assert_eq!(node.balancer.avoided(), 0);
+}
+
+// The list may not know yet that the server was restarted while it was out.
+#[test]
+fn a_server_put_back_is_cold_whatever_the_list_says_and_gets_work_soon() {
+    let mut node = Node::fleet(4);
+    let back = ServerId(1);
+    node.event(Event::Maintenance { server: back, out: true });
+    node.sync(SyncKind::Full, (0..4).map(member).collect());
+    node.event(Event::Maintenance { server: back, out: false });
+    node.sync(SyncKind::Full, (0..4).map(member).collect());
+    let mut first = 0;
+    let mut got = Vec::new();
+    for second in 0..15 {
+        let before = first;
+        for _ in 0..10 {
+            for n in first..first + 4 {
+                let server = node.place(n, 0, n);
+                got.push((second, server));
+                node.close(n, 0, server, Outcome::Ok);
+            }
+            first += 4;
+            node.pass(100_000);
+        }
+        assert!(first > before);
+    }
+    let in_second = |s: i32| got.iter().filter(|(second, server)| *second == s && *server == back).count();
+    assert!((0..5).any(|s| in_second(s) > 0), "left unused for 5 s");
+    // Warm, it carries about a quarter of 40.
+    assert!(in_second(0) <= 4 && in_second(14) >= 6, "{} and {}", in_second(0), in_second(14));
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -772,3 +772,38 @@
     site.all_do(Does::Serve);
     assert!(site.node.wait().unwrap().success());
 }
+
+// The rule on drains holds from the yes, whatever discovery says, and over a change of process.
+#[test]
+fn a_server_taken_out_stays_out_over_lists_and_an_upgrade() {
+    let scratch = tempfile::tempdir().unwrap();
+    let env = [("BALANCER_OPERATOR", "127.0.0.1:0"), ("TMPDIR", scratch.path().to_str().unwrap())];
+    let site = Site::under(2, json!({"sockets": 256}), &env);
+    let avoids = |addr: SocketAddr, n: u32| {
+        (0..8).for_each(|m| {
+            let answer = ask_at(addr, &request("pay", &format!("{n}-{m}"), 60_000)).expect("an answer");
+            assert_eq!(answer.status(), 200);
+        });
+        !site.requests().iter().any(|(server, _)| *server == 0)
+    };
+    assert!(!avoids(site.addr, 0), "both serve");
+    assert_eq!(site.call("POST /maintenance/enter?member=s-9").status(), 404);
+    assert_eq!(site.call("POST /maintenance/enter").status(), 400);
+    assert_eq!(site.call("POST /maintenance/enter?member=s-0").status(), 200);
+    assert_eq!(site.call("POST /maintenance/enter?member=s-0").status(), 200, "repeated");
+    assert!(avoids(site.addr, 1));
+    assert_eq!((site.figure("svc_discovered"), site.figure("svc_ejected")), (2, 1));
+    let (_, mut stream) = site.watch();
+    let list = json!({"revision": 42, "complete": true, "members": site.members});
+    chunk(&mut stream, &format!("{list}\n"));
+    let (mut new, addr, operator) = start(site.file.path(), None, &env);
+    assert!(avoids(addr, 2) && avoids(site.addr, 3));
+    // Put back at one process, it is back at the other.
+    assert_eq!(call(&operator, "POST /maintenance/exit?member=s-0").status(), 200);
+    until("the new process uses it", || !avoids(addr, 4));
+    until("the old process uses it", || !avoids(site.addr, 5));
+    assert_eq!(call(&operator, "POST /maintenance/enter?member=s-0").status(), 200);
+    until("the old process follows", || avoids(site.addr, 6));
+    new.kill().unwrap();
+    new.wait().unwrap();
+}
