Count each ending once, refuse doubled members, name the address that can't be bound

Read against the issue's list: a passing answer whose client left was counted nowhere, a doubled member took the first, HEAD got 404 or 405, a start that failed did not say at which address, and an HTTP/1.0 client could not tell a broken answer of unknown length from a whole one (it now sees a reset). Tests for each.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -300,7 +300,7 @@
             return plain(StatusCode::BAD_REQUEST, "two framings\n");
         }
         match request.uri().path() {
-            "/-/ready" if request.method() == Method::GET => {
+            "/-/ready" if [Method::GET, Method::HEAD].contains(request.method()) => {
                 let ready = self.is_ready();
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
@@ -333,7 +333,7 @@
         if keyed && !head.headers.contains_key("idempotency-key") {
             return Err(bad("Idempotency-Key is missing\n"));
         }
-        if head.method != Method::GET && head.method != Method::POST {
+        if ![Method::GET, Method::HEAD, Method::POST].contains(&head.method) {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "GET or POST\n"));
         }
         let whole = Duration::from_micros(class_of.deadline);
@@ -377,17 +377,17 @@
             call: Rc::new(Call { method: head.method, target, headers, body, probe: false }),
             reply,
         };
-        let waiting = Waiting::new(self, id, upload.is_some());
+        let waiting = Waiting::new(self, id, class, upload.is_some());
         let answer = match self.tx.send(Msg::Request(Box::new(arrival))) {
             Ok(()) => self.answer(answer, &waiting, upload).await.map_err(fault)?,
             Err(_) => Answer::Refused(Some(OVERFULL)),
         };
         let (end, response) = match answer {
             Answer::Served(headers, Reply::Passing(mut passing)) => {
-                let counts = self.counts.clone();
+                let spoilt = guest.spoilt.clone();
                 passing.on_end(move |end| {
-                    counts.ended(class, end);
-                    drop(waiting);
+                    spoilt.set(end != End::Served);
+                    waiting.end(end);
                 });
                 return Ok(served(headers, Reply::Passing(passing)));
             }
@@ -399,7 +399,7 @@
                 (End::Failed, plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"))
             }
         };
-        self.counts.ended(class, end);
+        waiting.end(end);
         Ok(response)
     }
 
@@ -436,7 +436,8 @@
                 return Ok(early.unwrap_or(Answer::Late));
             }
             whole = upload.whole() => {
-                let deadline = whole?;
+                // One that can't be had is counted as malformed.
+                let deadline = whole.inspect_err(|_| waiting.ended.set(true))?;
                 waiting.is_whole();
                 let _ = self.tx.send(Msg::Whole(waiting.id, deadline));
             }
@@ -465,14 +466,18 @@
 struct Waiting {
     clients: Rc<Clients>,
     id: u64,
+    class: usize,
     coming: Cell<bool>,
+    /// It has had its ending, which is counted.
+    ended: Cell<bool>,
 }
 
 impl Waiting {
-    fn new(clients: &Rc<Clients>, id: u64, coming: bool) -> Self {
+    fn new(clients: &Rc<Clients>, id: u64, class: usize, coming: bool) -> Self {
         clients.held.set(clients.held.get() + 1);
         clients.coming.set(clients.coming.get() + usize::from(coming));
-        Waiting { clients: clients.clone(), id, coming: Cell::new(coming) }
+        let clients = clients.clone();
+        Waiting { clients, id, class, coming: Cell::new(coming), ended: Cell::new(false) }
     }
 
     fn is_whole(&self) {
@@ -480,10 +485,18 @@
             self.clients.coming.set(self.clients.coming.get() - 1);
         }
     }
+
+    fn end(&self, end: End) {
+        self.ended.set(true);
+        self.clients.counts.ended(self.class, end);
+    }
 }
 
 impl Drop for Waiting {
     fn drop(&mut self) {
+        if !self.ended.get() {
+            self.clients.counts.gone.add();
+        }
         self.is_whole();
         self.clients.held.set(self.clients.held.get() - 1);
         // For one that was answered the driver has forgotten the id, or knows it as ended.
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -267,7 +267,6 @@
             Msg::Gone(id) => {
                 let Some(held) = self.held.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
-                    self.counts.gone.add();
                     if let Some(overdue) = held.overdue.take() {
                         self.due.remove(&overdue);
                     }
--- a/src/bin/woodgap/guest.rs
+++ b/src/bin/woodgap/guest.rs
@@ -36,6 +36,8 @@
     idle_since: Cell<Option<Instant>>,
     /// The head that comes.
     head: RefCell<Head>,
+    /// An answer broke after it had begun: the client must be able to tell.
+    pub spoilt: Rc<Cell<bool>>,
     /// Told when its place is wanted.
     pub leave: Notify,
 }
@@ -49,6 +51,7 @@
             answered: Cell::new(false),
             idle_since: Cell::new(Some(now)),
             head: RefCell::default(),
+            spoilt: Rc::default(),
             leave: Notify::new(),
         }
     }
@@ -207,10 +210,22 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.guest.spoilt.get() {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
 
+impl Drop for Socket {
+    /// An answer that ends with its connection is known to be broken by a reset alone.
+    fn drop(&mut self) {
+        if self.guest.spoilt.get() {
+            let _ = self.socket.set_zero_linger();
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -58,7 +58,7 @@
     let keeps_backlog = inherited.is_some();
     let listener = match inherited {
         Some(listener) => TcpListener::from_std(listener)?,
-        None => TcpListener::bind(config.listen).await?,
+        None => bind(config.listen).await?,
     };
     let listen = listener.local_addr()?;
     let peers = match config.peer_listen {
@@ -88,7 +88,7 @@
         tx.clone(),
     );
     if let Some(addr) = config.operator {
-        let listener = TcpListener::bind(addr).await?;
+        let listener = bind(addr).await?;
         log::line(format_args!("operators call at {}", listener.local_addr()?));
         let operator = Operator::new(clients.clone(), servers, counts.clone(), tx.clone());
         spawn_local(operator.accept(listener));
@@ -130,6 +130,10 @@
     Ok(())
 }
 
+async fn bind(addr: std::net::SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(addr).await.map_err(|error| format!("{addr}: {error}"))
+}
+
 /// Discovery's address, read again from the configuration.
 fn new_discovery(path: &Path) -> Result<std::net::SocketAddr, Box<dyn Error>> {
     Config::read_discovery(&std::fs::read_to_string(path)?)
@@ -139,7 +143,8 @@
     let env: std::collections::HashMap<String, String> = std::env::vars_os()
         .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)))
         .collect();
-    let inherited = env.get("BALANCER_FD").map(|fd| inherit::listener(fd)).transpose()?;
+    let inherited = env.get("BALANCER_FD").map(|fd| inherit::listener(fd)).transpose();
+    let inherited = inherited.map_err(|error| format!("BALANCER_FD: {error}"))?;
     let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
     let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
     let path = PathBuf::from(path);
--- a/src/bin/woodgap/operator.rs
+++ b/src/bin/woodgap/operator.rs
@@ -117,8 +117,7 @@
     }
 
     async fn maintain(&self, query: &str, out: bool) -> Reply {
-        let Some(id) = query.split('&').find_map(|pair| pair.strip_prefix("member=")).and_then(decoded)
-        else {
+        let Some(id) = member(query) else {
             return reply(StatusCode::BAD_REQUEST, "member names no server\n");
         };
         match self.ask(|reply| Msg::Maintain { id, out, reply }).await {
@@ -159,6 +158,16 @@
     reply(StatusCode::INTERNAL_SERVER_ERROR, "the node did not answer\n")
 }
 
+/// The one server that a query names.
+fn member(query: &str) -> Option<String> {
+    let mut named = query.split('&').filter_map(|pair| pair.strip_prefix("member="));
+    let first = named.next()?;
+    if named.next().is_some() {
+        return None;
+    }
+    decoded(first)
+}
+
 /// The text of a query's value; `None` if it is empty or none.
 fn decoded(value: &str) -> Option<String> {
     let mut bytes = Vec::with_capacity(value.len());
@@ -183,6 +192,10 @@
 
     #[test]
     fn values_of_a_query_are_decoded() {
+        assert_eq!(member("a=b&member=s-1").as_deref(), Some("s-1"));
+        for wrong in ["", "member", "member=", "Member=s-1", "member=s-1&member=s-1"] {
+            assert_eq!(member(wrong), None, "{wrong}");
+        }
         assert_eq!(decoded("s-5be2a07c").as_deref(), Some("s-5be2a07c"));
         assert_eq!(decoded("a%2Fb%c3%A9+c").as_deref(), Some("a/b\u{e9} c"));
         for wrong in ["", "%", "%2", "%zz", "%ff", "%+1"] {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -118,6 +118,8 @@
     LongInTwo,
     /// Answers the first half of a long body and closes.
     LongBroken,
+    /// Begins a chunked body and closes.
+    ChunkedBroken,
     /// Answers nothing.
     Hang,
     /// Answers nothing until it is told to do something else.
@@ -172,6 +174,12 @@
                         }
                         continue;
                     }
+                    if does == Does::ChunkedBroken {
+                        let _ =
+                            write!(output, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n")
+                                .and_then(|()| output.write_all(&long_body()[..0x1_8000]));
+                        break;
+                    }
                     if matches!(does, Does::LongInTwo | Does::LongBroken) {
                         let body = long_body();
                         let (first, rest) = body.split_at(LONG / 2);
@@ -1086,3 +1094,114 @@
     let answer = Message::read(&mut BufReader::new(stream)).expect("an answer");
     assert_eq!(answer.status(), 503);
 }
+
+#[test]
+fn calls_that_name_no_server_have_no_effect() {
+    let site = Site::operated(1);
+    for what in [
+        "POST /maintenance/enter",
+        "POST /maintenance/enter?member=",
+        "POST /maintenance/enter?member=%zz",
+        "POST /maintenance/enter?member=s-0&member=s-0",
+        "POST /maintenance/enter?member=s-9",
+        "POST /maintenance/leave?member=s-0",
+        "GET /maintenance/enter?member=s-0",
+        &format!("POST /maintenance/enter?member=s-0&x={}", "a".repeat(20_000)),
+    ] {
+        let status = site.call(what).status();
+        assert!((400..500).contains(&status), "{status}");
+    }
+    assert_eq!(site.figure("svc_ejected"), 0);
+    assert_eq!(site.call("POST /maintenance/enter?member=s-0").status(), 200);
+    // All are out: nothing is waited for.
+    assert_eq!(site.ask("look", "1").status(), 503);
+    assert!(site.requests().is_empty());
+}
+
+// Clients that use up their descriptors keep no operator out.
+#[test]
+fn operators_are_answered_while_clients_hold_all_places() {
+    let site = Site::under(1, json!({"sockets": 103}), &[("BALANCER_OPERATOR", "127.0.0.1:0")]);
+    site.all_do(Does::Hold);
+    let held: Vec<TcpStream> = (0..60)
+        .map(|n| {
+            let mut stream = site.dial();
+            let _ = stream.write_all(&request("pay", &n.to_string(), 60_000));
+            stream
+        })
+        .collect();
+    until("some are refused", || site.figure("svc_declined_total{service=\"pay\"}") > 0);
+    assert_eq!(site.call("GET /status").status(), 200);
+    assert_eq!(site.call("POST /maintenance/enter?member=s-0").status(), 200);
+    drop(held);
+}
+
+#[test]
+fn a_start_that_cannot_be_ends_with_a_clear_message() {
+    let site = Site::new(1);
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let taken = taken.local_addr().unwrap().to_string();
+    for (name, value, told) in [
+        ("BALANCER_OPERATOR", taken.as_str(), taken.as_str()),
+        ("BALANCER_OPERATOR", "nowhere", "nowhere"),
+        ("BALANCER_FD", "", "BALANCER_FD"),
+        ("BALANCER_FD", "four", "BALANCER_FD"),
+        ("BALANCER_FD", "77", "BALANCER_FD"),
+        ("BALANCER_FD", "0", "BALANCER_FD"),
+    ] {
+        let output = Command::new(env!("CARGO_BIN_EXE_woodgap"))
+            .env_clear()
+            .env("BALANCER_CONFIG", site.file.path())
+            .env(name, value)
+            .stdin(Stdio::null())
+            .output()
+            .unwrap();
+        let message = String::from_utf8(output.stderr).unwrap();
+        let last = message.lines().last().unwrap_or("");
+        assert!(!output.status.success() && last.contains(told), "{name}={value}: {message}");
+    }
+}
+
+#[test]
+fn a_drain_can_be_called_again_and_ended_by_sigterm() {
+    let mut site = Site::operated(1);
+    for what in ["POST /standby", "POST /standby", "POST /active", "POST /active", "POST /standby"] {
+        assert_eq!(site.call(what).status(), 200, "{what}");
+    }
+    assert_eq!(site.call("GET /status").status(), 503);
+    assert_eq!(site.ask("pay", "1").status(), 200);
+    site.signal("-TERM");
+    assert!(site.node.wait().unwrap().success());
+}
+
+#[test]
+fn requests_written_ahead_and_heads_alone_are_answered() {
+    let site = Site::new(1);
+    let mut stream = site.dial();
+    let both = [request("pay", "1", 60_000), request("pay", "2", 60_000)].concat();
+    stream.write_all(&both).unwrap();
+    let mut input = BufReader::new(stream.try_clone().unwrap());
+    for id in ["1", "2"] {
+        assert_eq!(Message::read(&mut input).unwrap().body, id.as_bytes());
+    }
+    let mut head = site.dial();
+    head.write_all(b"HEAD /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
+    let mut all = String::new();
+    head.read_to_string(&mut all).unwrap();
+    assert!(all.starts_with("HTTP/1.1 200 ") && all.ends_with("\r\n\r\n"), "{all}");
+    // A server's interim answer is not its answer.
+    site.all_do(Does::Answer("103 Early Hints\r\n\r\nHTTP/1.1 200 OK"));
+    assert_eq!(site.ask("pay", "3").status(), 200);
+}
+
+// An old client has no other way to tell a broken answer from a whole one.
+#[test]
+fn an_old_client_sees_a_reset_when_its_answer_breaks() {
+    let site = Site::new(1);
+    site.all_do(Does::ChunkedBroken);
+    let mut stream = site.dial();
+    let text = String::from_utf8(request("look", "1", 60_000)).unwrap().replace("HTTP/1.1", "HTTP/1.0");
+    stream.write_all(text.as_bytes()).unwrap();
+    let read = stream.read_to_end(&mut Vec::new());
+    assert_eq!(read.unwrap_err().kind(), std::io::ErrorKind::ConnectionReset);
+}
