--- a/src/brain.rs
+++ b/src/brain.rs
@@ -100,6 +100,9 @@
 const LEVELS: f64 = 0.5;
 /// A cold server may be sent this part of what topples it: it remembers no key yet.
 const COLD_CARE: f64 = 0.45;
+/// One that answers in about the expected time is warmer than its age tells: it is sent more, slowly.
+const COLD_QUICK: f64 = 1.2;
+const COLD_RISE: f64 = 1.025;
 /// A group up to this size always keeps its idle connections, and any group closes them while more
 /// than this part of the attempts get no connection: servers accept a limited number.
 const LINK_KEEPERS: u32 = 24;
@@ -179,8 +182,9 @@
     ban: Bar,
     /// The same by class, by errors: it may fail one and serve the others well.
     bars: Vec<Bar>,
-    /// While it is cold: attempts that this node may send it.
+    /// While it is cold: attempts that this node may send it, and how many more than its age allows.
     budget: f64,
+    boost: f64,
 }
 
 /// Whether a server fails what it is sent.
@@ -315,8 +319,7 @@
     limit: f64,
     /// What is in flight, smoothed.
     usual: f64,
-    /// What would be in flight if all that is served were served in the expected time: the expected
-    /// times of the answers since the last sweep, and the same smoothed.
+    /// Expected times of the answers since the last sweep; smoothed, what would be in flight by them.
     answered: f64,
     flow: f64,
     /// Part of the fleet that is ejected.
@@ -423,9 +426,8 @@
             format!("in flight {} of {limit:.1}, flow {flow:.1} strain {strain:.2}, ", self.inflight);
         text += &format!("late {late:.2}, failing {failing:.2}, ejected {ejected:.2}");
         for server in self.servers.iter().filter(|s| s.ready && self.share(s) < 1.0) {
-            let Server { inflight, .. } = server;
-            let (id, share, ratio) = (server.member.server.0, self.share(server), self.pace(server));
-            text += &format!(", server {id:x} share {share:.2} ratio {ratio:.1} holds {inflight}");
+            let (id, held, ratio) = (server.member.server.0, server.inflight, self.pace(server));
+            text += &format!(", server {id:x} share {:.2} ratio {ratio:.1} holds {held}", self.share(server));
         }
         text
     }
@@ -550,8 +552,7 @@
 
     /// The part of its slots that a server carries now.
     fn share(&self, server: &Server) -> f64 {
-        let warmth = self.warmth(server);
-        let spent = warmth < 1.0 && server.budget < 1.0;
+        let spent = self.warmth(server) < 1.0 && server.budget < 1.0;
         let ejected = server.ban.until.is_some() && self.mood.ejected <= PANIC;
         if spent || ejected || self.cut_off(server) {
             0.0
@@ -1105,18 +1106,16 @@
         let slowest = self.norms.iter().map(|n| n.mean).fold(0.0, f64::max);
         let silence = ((SILENCE * slowest) as Micros).max(self.paced(SILENCE_LEAST));
         let (mut ejected, mut total, mut able) = (0.0, 0.0, 0.0);
-        let pace = COLD_CARE * self.settings.fall_multiple * self.mood.served
-            / self.window
-            / self.mood.able.max(1.0)
-            * self.sweep as f64
-            / 1e6;
+        let rate = self.mood.served / self.window / self.mood.able.max(1.0);
+        let pace = COLD_CARE * self.settings.fall_multiple * rate * self.sweep as f64 / 1e6;
         for i in 0..self.servers.len() {
             let server = &self.servers[i];
             if !server.ready {
                 continue;
             }
             let (size, warmth) = (server.member.size, self.warmth(server));
-            let gain = pace * size * warmth;
+            let quick = server.pace.count > 1.0 && self.pace(server) < COLD_QUICK * warmth;
+            let gain = pace * size * warmth * server.boost;
             total += size;
             able += size * warmth * f64::from(u8::from(server.ban.until.is_none()));
             let quiet = server.inflight > 0 && self.now > server.quiet_since + silence;
@@ -1125,6 +1124,7 @@
             }
             let server = &mut self.servers[i];
             server.budget = (server.budget + gain).min(1.0 + gain);
+            server.boost = (server.boost * if quick { COLD_RISE } else { 0.9 }).clamp(1.0, 1.0 / warmth);
             match server.ban.until {
                 Some(until) => {
                     ejected += size;
@@ -1270,6 +1270,7 @@
             ban: Bar::default(),
             bars: vec![Bar::default(); classes],
             budget,
+            boost: 1.0,
         }
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -851,3 +851,33 @@
     // Warm, it carries about a quarter of 40.
     assert!(in_second(0) <= 4 && in_second(14) >= 6, "{} and {}", in_second(0), in_second(14));
 }
+
+// Its age is only the least that a cold server can do: one that answers quickly is sent more, and one
+// that takes long is held to its age.
+#[test]
+fn a_cold_server_that_answers_quickly_is_sent_more() {
+    let sent = |spent: Micros| {
+        let mut node = Node::fleet(4);
+        let cold = ServerId(1);
+        let mut first = 0;
+        let mut got = 0;
+        for tenth in 0..70 {
+            if tenth == 10 {
+                node.sync(SyncKind::Delta, vec![Member { since: node.now, ..member(1) }]);
+            }
+            for n in first..first + 10 {
+                let server = node.place(n, 0, n);
+                got += u32::from(tenth >= 40 && server == cold);
+                let spent = if tenth >= 10 && server == cold { spent } else { 20_000 };
+                node.close_after(n, 0, server, Outcome::Ok, spent);
+            }
+            first += 10;
+            node.pass(100_000);
+        }
+        got
+    };
+    let (quick, slow) = (sent(20_000), sent(60_000));
+    // Its even part would be 75 of 300, and its age alone allows some 55.
+    assert!((64..=90).contains(&quick), "{quick}");
+    assert!((1..=45).contains(&slow), "{slow}");
+}
