--- a/src/brain.rs
+++ b/src/brain.rs
@@ -100,9 +100,9 @@
 const LEVELS: f64 = 0.5;
 /// A cold server may be sent this part of what topples it: it remembers no key yet.
 const COLD_CARE: f64 = 0.45;
-/// One that answers in about the expected time is warmer than its age tells: it is sent more, slowly.
+/// One that answers within so many expected times can do more than its age tells: up to so much more.
 const COLD_QUICK: f64 = 1.2;
-const COLD_RISE: f64 = 1.025;
+const COLD_MOST: f64 = 1.8;
 /// A group up to this size always keeps its idle connections, and any group closes them while more
 /// than this part of the attempts get no connection: servers accept a limited number.
 const LINK_KEEPERS: u32 = 24;
@@ -461,7 +461,6 @@
             SyncKind::Delta | SyncKind::Full => (self.subscribed, self.refusals) = (true, 0),
         }
         if kind != SyncKind::Delta {
-            // A server absent from a complete list has been removed.
             let mut listed: Vec<ServerId> = members.iter().map(|m| m.server).collect();
             listed.sort_unstable();
             for server in &mut self.servers {
@@ -1108,6 +1107,7 @@
         let (mut ejected, mut total, mut able) = (0.0, 0.0, 0.0);
         let rate = self.mood.served / self.window / self.mood.able.max(1.0);
         let pace = COLD_CARE * self.settings.fall_multiple * rate * self.sweep as f64 / 1e6;
+        let whole = self.mood.able / self.size_total.max(1.0);
         for i in 0..self.servers.len() {
             let server = &self.servers[i];
             if !server.ready {
@@ -1115,7 +1115,7 @@
             }
             let (size, warmth) = (server.member.size, self.warmth(server));
             let quick = server.pace.count > 1.0 && self.pace(server) < COLD_QUICK * warmth;
-            let gain = pace * size * warmth * server.boost;
+            let gain = pace * size * warmth * (server.boost * whole).max(1.0);
             total += size;
             able += size * warmth * f64::from(u8::from(server.ban.until.is_none()));
             let quiet = server.inflight > 0 && self.now > server.quiet_since + silence;
@@ -1124,7 +1124,7 @@
             }
             let server = &mut self.servers[i];
             server.budget = (server.budget + gain).min(1.0 + gain);
-            server.boost = (server.boost * if quick { COLD_RISE } else { 0.9 }).clamp(1.0, 1.0 / warmth);
+            server.boost = (server.boost * if quick { 1.025 } else { 0.9 }).clamp(1.0, COLD_MOST);
             match server.ban.until {
                 Some(until) => {
                     ejected += size;
