A long answer keeps its place, a refused upload is read on, a bad list of bans logs once

From reading the code again: guest.idle() ran when a long answer began, so that a client in the middle of one could be asked to leave; a refusal for want of places left an upload unread and its connection to be reset; a damaged file was logged ten times a second; a process that replaces another could not bind its datagram socket.

--- a/src/bin/woodgap/bans.rs
+++ b/src/bin/woodgap/bans.rs
@@ -10,6 +10,8 @@
     /// Without one they end with the process.
     path: Option<PathBuf>,
     ids: BTreeSet<String>,
+    /// What was last wrong with the file: it is read often, and logged once.
+    fault: Option<String>,
 }
 
 impl Bans {
@@ -17,7 +19,7 @@
     pub fn open(dir: Option<&Path>, name: &str) -> Bans {
         let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
         let path = dir.map(|dir| dir.join(format!("woodgap-{name}-out.json")));
-        let mut bans = Bans { path, ids: BTreeSet::new() };
+        let mut bans = Bans { path, ids: BTreeSet::new(), fault: None };
         bans.follow();
         bans
     }
@@ -32,7 +34,14 @@
 
     /// Takes over what another process has written; the ids that changed, with whether they are out.
     pub fn follow(&mut self) -> Vec<(String, bool)> {
-        let Some(ids) = self.path.as_deref().and_then(read) else { return Vec::new() };
+        let Some(path) = &self.path else { return Vec::new() };
+        let read = read(path).map_err(|error| format!("{}: {error}", path.display()));
+        let fault = read.as_ref().err().cloned();
+        if let Some(fault) = fault.as_ref().filter(|fault| self.fault.as_ref() != Some(fault)) {
+            crate::log::line(format_args!("servers left out: {fault}"));
+        }
+        self.fault = fault;
+        let Ok(Some(ids)) = read else { return Vec::new() };
         let changed = self.ids.symmetric_difference(&ids).map(|id| (id.clone(), ids.contains(id))).collect();
         self.ids = ids;
         changed
@@ -59,18 +68,13 @@
     }
 }
 
-/// What the file holds; `None` where there is none or it can't be read, which changes nothing.
-fn read(path: &Path) -> Option<BTreeSet<String>> {
-    let text = match fs::read(path) {
-        Ok(text) => text,
-        Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
-        Err(error) => {
-            crate::log::line(format_args!("{}: {error}", path.display()));
-            return None;
-        }
-    };
-    let ids = serde_json::from_slice(&text);
-    ids.map_err(|error| crate::log::line(format_args!("{} is damaged: {error}", path.display()))).ok()
+/// What the file holds; `None` where there is none.
+fn read(path: &Path) -> io::Result<Option<BTreeSet<String>>> {
+    match fs::read(path) {
+        Ok(text) => Ok(Some(serde_json::from_slice(&text)?)),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(error),
+    }
 }
 
 /// Another process, or the next one, finds the old file or the new one whole.
@@ -110,6 +114,7 @@
         let path = bans.path.clone().unwrap();
         fs::write(&path, "[\"s-").unwrap();
         assert!(bans.follow().is_empty() && bans.holds("s-1"));
+        assert!(bans.fault.is_some());
         assert!(!Bans::open(Some(dir.path()), "n0").holds("s-1"));
         bans.set("s-2", true).unwrap();
         assert_eq!(Bans::open(Some(dir.path()), "n0").ids().count(), 2);
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -195,7 +195,10 @@
                 } else {
                     clients.handle(request, &guest).await
                 };
-                guest.idle();
+                // One that passes in pieces says so itself at its end.
+                if matches!(response.body(), Reply::Whole(_)) {
+                    guest.idle();
+                }
                 if refuse || clients.draining.get() || response.status().is_client_error() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -293,7 +296,7 @@
         let _ = timeout(Duration::from_micros(longest) + DRAIN, all_ended).await;
     }
 
-    async fn handle(self: &Rc<Self>, request: Request<Incoming>, guest: &Guest) -> Response<Reply> {
+    async fn handle(self: &Rc<Self>, request: Request<Incoming>, guest: &Rc<Guest>) -> Response<Reply> {
         guest.asks();
         if guest.has_two_framings() {
             self.counts.malformed.add();
@@ -315,7 +318,7 @@
     async fn call(
         self: &Rc<Self>,
         request: Request<Incoming>,
-        guest: &Guest,
+        guest: &Rc<Guest>,
     ) -> Result<Response<Reply>, (StatusCode, &'static str)> {
         let bad = |why| (StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
@@ -353,6 +356,7 @@
         };
         if self.held.get() >= self.open_cap {
             self.counts.ended(class, End::Refused);
+            upload.into_iter().for_each(|upload| drop(spawn_local(upload.discard())));
             return Ok(self.refusal(Some(OVERFULL)));
         }
         let key = head.uri.query().and_then(key_of);
@@ -384,9 +388,12 @@
         };
         let (end, response) = match answer {
             Answer::Served(headers, Reply::Passing(mut passing)) => {
-                let spoilt = guest.spoilt.clone();
+                let guest = guest.clone();
                 passing.on_end(move |end| {
-                    spoilt.set(end != End::Served);
+                    if end != End::Served {
+                        guest.spoil();
+                    }
+                    guest.idle();
                     waiting.end(end);
                 });
                 return Ok(served(headers, Reply::Passing(passing)));
--- a/src/bin/woodgap/guest.rs
+++ b/src/bin/woodgap/guest.rs
@@ -37,7 +37,7 @@
     /// The head that comes.
     head: RefCell<Head>,
     /// An answer broke after it had begun: the client must be able to tell.
-    pub spoilt: Rc<Cell<bool>>,
+    spoilt: Cell<bool>,
     /// Told when its place is wanted.
     pub leave: Notify,
 }
@@ -51,7 +51,7 @@
             answered: Cell::new(false),
             idle_since: Cell::new(Some(now)),
             head: RefCell::default(),
-            spoilt: Rc::default(),
+            spoilt: Cell::new(false),
             leave: Notify::new(),
         }
     }
@@ -73,6 +73,11 @@
         self.head.take();
     }
 
+    /// Its answer broke: the connection is to end with a reset.
+    pub fn spoil(&self) {
+        self.spoilt.set(true);
+    }
+
     pub fn idle_since(&self) -> Option<Instant> {
         self.idle_since.get()
     }
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -62,7 +62,14 @@
     };
     let listen = listener.local_addr()?;
     let peers = match config.peer_listen {
-        Some(listen) => Some(Peers::bind(listen, config.peers.clone(), config.peers_all).await?),
+        Some(listen) => match Peers::bind(listen, config.peers.clone(), config.peers_all).await {
+            // The process that this one replaces still has it, and what it brings is never needed.
+            Err(error) if keeps_backlog && error.kind() == std::io::ErrorKind::AddrInUse => {
+                log::line(format_args!("no datagrams between nodes: {listen}: {error}"));
+                None
+            }
+            peers => Some(peers?),
+        },
         None => None,
     };
     let (tx, rx) = mpsc::unbounded_channel();
