--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1205,3 +1205,32 @@
     let read = stream.read_to_end(&mut Vec::new());
     assert_eq!(read.unwrap_err().kind(), std::io::ErrorKind::ConnectionReset);
 }
+
+// The place of a client in the middle of a long answer is not to be had, nor is its connection spent.
+#[test]
+fn a_client_in_the_middle_of_a_long_answer_is_not_asked_to_leave() {
+    let site = Site::with(1, json!({"sockets": 94}));
+    site.all_do(Does::LongInTwo);
+    let mut reader = site.dial();
+    reader.write_all(&request("look", "1", 60_000)).unwrap();
+    assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Request(..))));
+    let mut input = BufReader::new(reader.try_clone().unwrap());
+    input.fill_buf().unwrap();
+    site.all_do(Does::Hold);
+    // Past the time after which an idle connection may be closed.
+    thread::sleep(Duration::from_millis(2_200));
+    let held: Vec<TcpStream> = (0..6)
+        .map(|n| {
+            let mut stream = site.dial();
+            stream.write_all(&request("pay", &format!("held-{n}"), 60_000)).unwrap();
+            assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Request(..))));
+            stream
+        })
+        .collect();
+    assert_eq!(site.ask("pay", "2").status(), 503);
+    site.all_do(Does::Serve);
+    assert!(Message::read(&mut input).unwrap().body == long_body());
+    reader.write_all(&request("pay", "3", 60_000)).unwrap();
+    assert_eq!(Message::read(&mut input).expect("the connection stays").body, b"3");
+    drop(held);
+}
