Lab: a workspace member with scenarios and a seeded world without I/O

Cause: the repository holds no servers, clients or discovery, so a newcomer can build the node and do nothing with it, and decisions can't be tried without the kit.

Change: the member lab/ with scenario files (TOML, faults told with file, line, key and the nearest known word) and the world model: servers with slots, queue, key memory, jam, cold start and fall; the list with its delays; fronts, clients and an open-loop demand; the time line of troubles.

No node ran in it yet.

--- /dev/null
+++ b/lab/src/world/mod.rs
@@ -0,0 +1,420 @@
+//! Owns the world that nodes live in: servers, the list of them, clients, fronts and what goes wrong.
+//!
+//! Pure and seeded: no I/O, no clock, no thread. A host asks [`World::next_at`] when something happens
+//! of itself, calls [`World::advance`] and carries out the [`Effect`]s; what comes from outside (a
+//! request at a server, a node that is ready) it hands in by the other methods. All times are
+//! microseconds since the load began (troubles and load begin at 0; what happens before is at 0). One
+//! seed gives one world, whatever the host does; the nodes are told none of its true values.
+
+pub mod client;
+pub mod demand;
+pub mod front;
+pub mod registry;
+pub mod server;
+pub mod timeline;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::scenario::{Fleet, Scenario, Span};
+
+pub use client::{Answer, Client, Try};
+pub use demand::{Ask, Demand};
+pub use front::Front;
+pub use registry::{Entry, Phase, Registry};
+pub use server::{Condition, Ending, Job, JobId, Server, Verdict};
+pub use timeline::{Step, Timeline};
+
+/// A point in time since the load began, or a span.
+pub type Micros = u64;
+/// Place of a node, from 0.
+pub type NodeId = usize;
+/// Place of a server in [`World::servers`]; a machine that replaces another gets a new one.
+pub type ServerIx = usize;
+
+/// A second, in [`Micros`].
+pub const SECOND: Micros = 1_000_000;
+/// A draining server turns new work away from here on: later than any list says that it drains.
+const DRAIN_TAKES: Micros = 5 * SECOND;
+/// And ends here.
+const DRAIN_ENDS: Micros = 9 * SECOND;
+/// A server that operators have taken out is restarted after this.
+const HAND_RESTART: Micros = 2 * SECOND;
+/// And is away for this.
+const HAND_AWAY: Micros = SECOND;
+
+/// What a host has to carry out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// A server finished a job.
+    Done {
+        /// Which server.
+        server: ServerIx,
+        /// Which job.
+        job: JobId,
+        /// How it ended.
+        ending: Ending,
+    },
+    /// A server's process ended: its connections are reset, new ones refused.
+    Down(ServerIx),
+    /// A server's process runs and accepts connections.
+    Up(ServerIx),
+    /// A server's machine says nothing from now on (true), or is back and resets what was open.
+    Silent(ServerIx, bool),
+    /// A cold server was pushed over.
+    Toppled {
+        /// Which server.
+        server: ServerIx,
+        /// Part of the work that pushed it that came from nodes told of its start.
+        told: f64,
+    },
+    /// A node's agent has something to tell.
+    Told(NodeId),
+    /// Something is done to a node.
+    Node(NodeId, NodeOrder),
+    /// Operators take a server out (true) or put it back, at every node.
+    Hand(ServerIx, bool),
+}
+
+/// What is done to a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeOrder {
+    /// SIGKILL.
+    Kill,
+    /// SIGTERM, and SIGKILL after the longest deadline.
+    Stop,
+    /// Start its process.
+    Start,
+    /// Start a second process on the same listener, then stop the first.
+    Upgrade,
+    /// The operators' call that sends clients away, or back.
+    Standby(bool),
+    /// A new configuration with a new address for discovery, and SIGHUP.
+    MoveDiscovery,
+}
+
+/// The world of one seed.
+#[derive(Debug)]
+pub struct World {
+    servers: Vec<Server>,
+    registry: Registry,
+    timeline: Timeline,
+    fleet: Fleet,
+    delays: Delays,
+    rng: Pcg64,
+    /// Work sent to cold servers lately: when, how much, and whether its node was told of the start.
+    cold: BTreeMap<ServerIx, VecDeque<(Micros, f64, bool)>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Delays {
+    same: Span,
+    cross: Span,
+}
+
+impl World {
+    /// The world of a scenario and a seed, with `nodes` nodes and `servers` servers, all warm.
+    pub fn new(scenario: &Scenario, seed: u64, nodes: usize, servers: usize) -> World {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let fleet = scenario.fleet.clone();
+        let kinds = kinds_of(&fleet, servers);
+        let servers: Vec<Server> = kinds
+            .iter()
+            .enumerate()
+            .map(|(at, kind)| Server::draw(&fleet, *kind, at, None, &mut rng))
+            .collect();
+        let mut registry = Registry::new(scenario, nodes, &mut rng);
+        for server in &servers {
+            registry.list_at_start(server.entry());
+        }
+        let timeline = Timeline::new(scenario, servers.len(), nodes, &mut rng);
+        let delays = Delays { same: scenario.network.same_ms, cross: scenario.network.cross_ms };
+        World { servers, registry, timeline, fleet, delays, rng, cold: BTreeMap::new() }
+    }
+
+    /// What the warm fleet can do, in microseconds of work a microsecond.
+    pub fn capacity(&self) -> f64 {
+        self.servers.iter().map(Server::full_capacity).sum()
+    }
+
+    /// All servers that were ever there.
+    pub fn servers(&self) -> &[Server] {
+        &self.servers
+    }
+
+    /// The list of servers and what nodes know of it.
+    pub fn registry(&mut self) -> &mut Registry {
+        &mut self.registry
+    }
+
+    /// When something happens of itself next.
+    pub fn next_at(&self) -> Option<Micros> {
+        let servers = self.servers.iter().filter_map(Server::next_at).min();
+        [servers, self.timeline.next_at(), self.registry.next_at()].into_iter().flatten().min()
+    }
+
+    /// Lets time pass until `now` and says what happened on the way.
+    pub fn advance(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        while let Some((at, step)) = self.timeline.pop(now) {
+            self.advance_servers(at, out);
+            self.take(at, step, out);
+        }
+        self.advance_servers(now, out);
+        self.registry.advance(now, |node| out.push(Effect::Told(node)));
+    }
+
+    fn advance_servers(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        for (at, server) in self.servers.iter_mut().enumerate() {
+            server.advance(now, |job, ending| out.push(Effect::Done { server: at, job, ending }));
+        }
+    }
+
+    /// Time that a message takes one way between a node and a server.
+    pub fn delay(&mut self, node: NodeId, server: ServerIx) -> Micros {
+        let near = self.servers[server].zone == node % self.fleet.zones.len();
+        let span = if near { self.delays.same } else { self.delays.cross };
+        (span.draw(&mut self.rng) * 1e3) as Micros
+    }
+
+    /// A request of a node has come whole to a server.
+    pub fn offer(
+        &mut self,
+        now: Micros,
+        node: NodeId,
+        at: ServerIx,
+        job: Job,
+        out: &mut Vec<Effect>,
+    ) -> Verdict {
+        self.advance_servers(now, out);
+        let server = &mut self.servers[at];
+        let work = job.work as f64;
+        let verdict = server.offer(now, job);
+        if server.is_cold(now) {
+            let told = self.registry.has_told_start(node, &server.id, server.since);
+            self.weigh_cold(now, at, work, told, out);
+        }
+        verdict
+    }
+
+    /// A cold server falls over once the work sent to it in a window is over the multiple of what it
+    /// can do in that window (BRIEF 7.2). Two requests' worth of slack stands for chance.
+    fn weigh_cold(&mut self, now: Micros, at: ServerIx, work: f64, told: bool, out: &mut Vec<Effect>) {
+        let window = self.fleet.fall_s.micros();
+        let sent = self.cold.entry(at).or_default();
+        sent.push_back((now, work, told));
+        while sent.front().is_some_and(|(then, ..)| then + window < now) {
+            sent.pop_front();
+        }
+        let sum: f64 = sent.iter().map(|(_, work, _)| work).sum();
+        let most = sent.iter().map(|(_, work, _)| *work).fold(0.0, f64::max);
+        let budget = self.fleet.fall_multiple.0 * self.servers[at].capacity(now) * window as f64;
+        if sum > budget + 2.0 * most {
+            let by_told: f64 = sent.iter().filter(|(_, _, told)| *told).map(|(_, work, _)| work).sum();
+            self.cold.remove(&at);
+            out.push(Effect::Toppled { server: at, told: by_told / sum });
+            self.end(now, at, out);
+        }
+    }
+
+    /// The request of a job was given up.
+    pub fn cancel(&mut self, now: Micros, server: ServerIx, job: JobId, out: &mut Vec<Effect>) {
+        self.advance_servers(now, out);
+        self.servers[server].cancel(job);
+    }
+
+    /// A connection comes up at a server; false where it holds as many as it can.
+    pub fn connect(&mut self, now: Micros, server: ServerIx, out: &mut Vec<Effect>) -> bool {
+        self.advance_servers(now, out);
+        self.servers[server].connect()
+    }
+
+    /// A connection to a server has ended.
+    pub fn disconnect(&mut self, server: ServerIx) {
+        self.servers[server].disconnect();
+    }
+
+    /// A probe of a server: is it well?
+    pub fn probe(&mut self, now: Micros, server: ServerIx, out: &mut Vec<Effect>) -> bool {
+        self.advance_servers(now, out);
+        self.servers[server].probe()
+    }
+
+    fn end(&mut self, now: Micros, at: ServerIx, out: &mut Vec<Effect>) {
+        self.servers[at].end(now);
+        self.cold.remove(&at);
+        out.push(Effect::Down(at));
+        self.registry.note(now, self.servers[at].entry());
+    }
+
+    fn begin(&mut self, now: Micros, at: ServerIx, out: &mut Vec<Effect>) {
+        self.servers[at].begin(now);
+        out.push(Effect::Up(at));
+        self.registry.note(now, self.servers[at].entry());
+    }
+
+    fn take(&mut self, now: Micros, step: Step, out: &mut Vec<Effect>) {
+        match step {
+            Step::Failing(at, share) => self.servers[at].failing = share,
+            Step::Slower(at, times) => self.servers[at].slower = times,
+            Step::Silence(at, on) => {
+                self.servers[at].silence(now, on);
+                out.push(Effect::Silent(at, on));
+                let entry = self.servers[at].entry();
+                if on {
+                    self.registry.note_silent(now, entry);
+                } else {
+                    self.registry.note(now, entry);
+                }
+            }
+            Step::End(at) => self.end(now, at, out),
+            Step::Begin(at) => self.begin(now, at, out),
+            Step::Replace(at) => self.replace(now, at),
+            Step::TurnAway(at) => self.servers[at].condition = Condition::TurningAway,
+            Step::Zone(zone, up) => {
+                let of_zone: Vec<ServerIx> =
+                    (0..self.servers.len()).filter(|&at| self.servers[at].zone == zone).collect();
+                for at in of_zone {
+                    match (up, self.servers[at].condition) {
+                        (true, Condition::Down) => self.begin(now, at, out),
+                        (false, Condition::Up) => self.end(now, at, out),
+                        _ => {}
+                    }
+                }
+            }
+            Step::Discovery(away) => self.registry.set_away(now, away),
+            Step::Wrong(at, on) => {
+                let mut entry = self.servers[at].entry();
+                if on {
+                    entry.phase = Phase::Terminated;
+                }
+                self.registry.note_now(now, entry);
+            }
+            Step::Hand(at, true) => {
+                out.push(Effect::Hand(at, true));
+                self.timeline.push(now + HAND_RESTART, Step::End(at));
+                self.timeline.push(now + HAND_RESTART + HAND_AWAY, Step::Begin(at));
+            }
+            Step::Hand(at, false) => out.push(Effect::Hand(at, false)),
+            Step::Node(node, order) => out.push(Effect::Node(node, order)),
+        }
+    }
+
+    /// A server begins to drain and a new, cold machine of its kind and zone starts beside it.
+    fn replace(&mut self, now: Micros, at: ServerIx) {
+        if self.servers[at].condition != Condition::Up {
+            return;
+        }
+        self.servers[at].condition = Condition::Draining;
+        self.registry.note(now, self.servers[at].entry());
+        self.timeline.push(now + DRAIN_TAKES, Step::TurnAway(at));
+        self.timeline.push(now + DRAIN_ENDS, Step::End(at));
+        let (kind, zone) = (self.servers[at].kind, self.servers[at].zone);
+        let new = self.servers.len();
+        let mut server = Server::draw(&self.fleet, kind, new, Some(zone), &mut self.rng);
+        server.end(now);
+        self.servers.push(server);
+        self.timeline.push(now, Step::Begin(new));
+    }
+}
+
+/// The kind of each of so many servers: by the shares, the kinds mixed over the zones.
+fn kinds_of(fleet: &Fleet, servers: usize) -> Vec<usize> {
+    let total: f64 = fleet.kind.iter().map(|kind| kind.share.0).sum();
+    let mut given = vec![0.0; fleet.kind.len()];
+    (1..=servers)
+        .map(|so_far| {
+            let lacks = |k: usize| fleet.kind[k].share.0 / total * so_far as f64 - given[k];
+            let kind = (0..given.len()).max_by(|&a, &b| lacks(a).total_cmp(&lacks(b))).unwrap_or(0);
+            given[kind] += 1.0;
+            kind
+        })
+        .collect()
+}
+
+/// So many of `of` places as a share means, at least one, drawn without repeats.
+fn some_of(of: usize, share: f64, rng: &mut Pcg64) -> Vec<usize> {
+    let count = ((of as f64 * share).round() as usize).clamp(1, of);
+    let mut places: Vec<usize> = (0..of).collect();
+    for at in 0..count {
+        let other = rng.random_range(at..of);
+        places.swap(at, other);
+    }
+    places.truncate(count);
+    places
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn scenario(text: &str) -> Scenario {
+        Scenario::read("test.toml", &format!("title = \"t\"\n{text}")).unwrap()
+    }
+
+    /// Plays what happens of itself until `end`, with `rate` requests a second at server `at`.
+    fn play(world: &mut World, node: NodeId, at: ServerIx, rate: u64, end: Micros) -> Vec<(Micros, Effect)> {
+        let (mut seen, mut out, mut now, mut job) = (Vec::new(), Vec::new(), 0, 0);
+        while now < end {
+            let next = world.next_at().unwrap_or(end).max(now + 1);
+            let arrival = (job + 1) * SECOND / rate.max(1);
+            let send = rate > 0 && arrival <= next;
+            now = if send { arrival } else { next };
+            world.advance(now, &mut out);
+            if send {
+                job += 1;
+                let id = JobId(job);
+                world.offer(now, node, at, Job { id, work: 40_000, io: 20_000, key: None }, &mut out);
+            }
+            seen.extend(out.drain(..).map(|effect| (now, effect)));
+        }
+        seen
+    }
+
+    #[test]
+    fn one_seed_is_one_world_and_another_is_another() {
+        let scenario = scenario("[[trouble]]\nat_s = 1\nkind = \"replace\"\npart = 0.5\nstep_s = 0.5");
+        let run = |seed| play(&mut World::new(&scenario, seed, 2, 6), 0, 1, 20, 8 * SECOND);
+        assert_eq!(run(3), run(3));
+        assert_ne!(run(3), run(4));
+    }
+
+    #[test]
+    fn a_cold_server_sent_too_much_falls_over_and_a_warm_one_does_not() {
+        let scenario = scenario("[[trouble]]\nat_s = 1\nkind = \"restart\"\npart = 0.01\nfor_s = 1");
+        let mut world = World::new(&scenario, 5, 1, 4);
+        let struck = play(&mut World::new(&scenario, 5, 1, 4), 0, 0, 0, 2 * SECOND);
+        let (_, Effect::Down(at)) = struck.iter().find(|(_, e)| matches!(e, Effect::Down(_))).unwrap() else {
+            unreachable!()
+        };
+        let seen = play(&mut world, 0, *at, 120, 12 * SECOND);
+        let fell = seen.iter().find(|(_, e)| matches!(e, Effect::Toppled { .. }));
+        assert!(
+            matches!(fell, Some((when, Effect::Toppled { told, .. })) if *when > 2 * SECOND && *told > 0.5)
+        );
+        let warm = play(&mut World::new(&scenario, 5, 1, 4), 0, (at + 1) % 4, 120, 12 * SECOND);
+        assert!(!warm.iter().any(|(_, e)| matches!(e, Effect::Toppled { .. })));
+    }
+
+    #[test]
+    fn a_jammed_server_serves_less_until_it_has_rested() {
+        let scenario = scenario("");
+        let served = |rate| {
+            let seen = play(&mut World::new(&scenario, 7, 1, 3), 0, 0, rate, 12 * SECOND);
+            let done = |from: u64, to: u64| {
+                seen.iter()
+                    .filter(|(at, e)| {
+                        (from * SECOND..to * SECOND).contains(at)
+                            && matches!(e, Effect::Done { ending: Ending::Served, .. })
+                    })
+                    .count()
+            };
+            (done(0, 2), done(8, 10))
+        };
+        let (early, late) = served(200);
+        assert!(late * 2 < early, "jammed: {early} in the first two seconds, {late} later");
+        let (early, late) = served(10);
+        assert!(late + 5 > early, "at ease: {early} in the first two seconds, {late} later");
+    }
+}
