--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,5 +6,6 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod referee;
 pub mod scenario;
 pub mod world;
