Lab: the socket host plays the world round real nodes and judges them

Cause: scenarios, world and referee had no host; nothing showed a node at work.

The world is asked, the host moves bytes.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod host;
 pub mod referee;
+pub mod report;
 pub mod scenario;
 pub mod world;
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,101 @@
+//! The program `woodgap-lab`: see `--help`.
+#![forbid(unsafe_code)]
+
+mod cli;
+
+use std::error::Error;
+use std::io::{stdout, Write};
+use std::process::ExitCode;
+
+use clap::Parser;
+use woodgap_lab::host::{self, Deploy, HostError, Plan};
+use woodgap_lab::report::{self, Live, Play};
+use woodgap_lab::scenario::{Scenario, SHIPPED};
+
+use cli::{Cli, Command, Up};
+
+/// A rule was broken or a node crashed.
+const BROKEN: u8 = 1;
+/// Nothing could be played.
+const USELESS: u8 = 2;
+/// Ended by a signal, as a shell would say for SIGINT.
+const STOPPED: u8 = 130;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let filter = tracing_subscriber::EnvFilter::try_from_env("WOODGAP_LAB_LOG");
+    let filter = filter.unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("warn"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
+    let done = match cli.command {
+        Command::Up(up) => play(&up),
+        Command::Scenarios => scenarios(),
+    };
+    done.unwrap_or_else(|error| {
+        eprintln!("woodgap-lab: {error}");
+        let stopped = matches!(error.downcast_ref(), Some(HostError::Stopped));
+        ExitCode::from(if stopped { STOPPED } else { USELESS })
+    })
+}
+
+fn scenarios() -> Result<ExitCode, Box<dyn Error>> {
+    let mut out = stdout().lock();
+    for (name, text) in SHIPPED {
+        writeln!(out, "{name:<16} {}", Scenario::read(name, text)?.title)?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn play(up: &Up) -> Result<ExitCode, Box<dyn Error>> {
+    let mut scenario = Scenario::find(&up.scenario)?;
+    up.check()?;
+    let run = &mut scenario.run;
+    run.nodes = up.nodes.unwrap_or(run.nodes);
+    run.servers = up.servers.unwrap_or(run.servers);
+    let here = std::env::current_dir()?;
+    let (command, root) = match &up.node {
+        Some(program) => {
+            let program = std::path::absolute(program)?;
+            if !program.is_file() {
+                return Err(format!("--node {}: no such program", program.display()).into());
+            }
+            let program = program.to_string_lossy();
+            let quoted = shlex::try_quote(&program)?;
+            (format!("exec {quoted}"), here)
+        }
+        None => {
+            let deploy = Deploy::find(&here)?;
+            deploy.build()?;
+            (deploy.run, deploy.root)
+        }
+    };
+    if let Some(logs) = &up.logs {
+        std::fs::create_dir_all(logs).map_err(|e| format!("--logs {}: {e}", logs.display()))?;
+    }
+    let play = Play {
+        scenario: up.scenario.clone(),
+        seed: up.seed,
+        nodes: scenario.run.nodes,
+        servers: scenario.run.servers,
+        seconds: up.seconds.unwrap_or(scenario.run.seconds.0),
+    };
+    let plan = Plan {
+        seed: play.seed,
+        nodes: play.nodes,
+        servers: play.servers,
+        seconds: play.seconds,
+        command,
+        root,
+        logs: up.logs.as_ref().map(std::path::absolute).transpose()?,
+        scenario,
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let mut live = Live::new(play.seconds);
+    let outcome = runtime.block_on(host::play(plan, |stage| live.show(stage)));
+    live.finish();
+    let outcome = outcome?;
+    stdout().lock().write_all(report::text(&play, &outcome).as_bytes())?;
+    if let Some(path) = &up.json {
+        report::write_json(path, &play, &outcome).map_err(|e| format!("--json {}: {e}", path.display()))?;
+    }
+    Ok(if report::is_kept(&outcome) { ExitCode::SUCCESS } else { ExitCode::from(BROKEN) })
+}
--- a/lab/src/referee/mod.rs
+++ b/lab/src/referee/mod.rs
@@ -11,7 +11,7 @@
 use crate::world::{Answer, Ask, Micros, NodeId, Phase};
 
 pub use rules::{Breach, Rule};
-pub use tally::{ClassTally, Tally};
+pub use tally::{latencies, ClassTally, Tally};
 
 /// New work to a server that drains, is gone or withheld may continue for this long (BRIEF 7.1), and
 /// on sockets for 50 ms more (PROTOCOL).
@@ -20,8 +20,6 @@
 pub const LOST_AFTER: Micros = 500_000;
 /// What discovery has to tell counts as told after this, whether it arrived or not (PROTOCOL).
 pub const TOLD_ANYWAY: Micros = 6_000_000;
-/// The same after a SIGHUP that moves discovery (TERMS).
-pub const TOLD_AFTER_MOVE: Micros = 4_000_000;
 /// A call to leave a server out binds after this at the latest (DAYS).
 pub const OUT_ANYWAY: Micros = 1_000_000;
 /// A cold server's fall counts against the nodes where they sent this part of the work knowingly.
@@ -149,6 +147,11 @@
         }
     }
 
+    /// Whether an attempt of a try has come to a server.
+    pub fn reached_server(&self, txn: &str) -> bool {
+        self.tries.get(txn).is_some_and(|record| !record.attempts.is_empty())
+    }
+
     /// A try has its final answer. `whole` is when its last byte came; `ours` tells that the body of a
     /// served one is one that a server made for it.
     pub fn answered(&mut self, txn: &str, ask: &Ask, answer: Answer, at: Micros, ours: bool) {
--- /dev/null
+++ b/lab/src/report/table.rs
@@ -0,0 +1,124 @@
+//! Owns the table at the end of a play.
+
+use std::fmt::Write;
+
+use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use comfy_table::{CellAlignment, Table};
+
+use super::{Play, LATE};
+use crate::host::Outcome;
+use crate::referee::ClassTally;
+
+/// How many breaches of rules are written out.
+const SHOWN: usize = 20;
+
+/// The whole text.
+pub fn text(play: &Play, outcome: &Outcome) -> String {
+    let mut out = String::new();
+    let tally = outcome.referee.tally();
+    let percent = |share: f64| format!("{:.1} %", share * 100.0);
+    let _ = writeln!(
+        out,
+        "\n{}, seed {}: {} nodes, {} servers, {:.0} s, {:.0} requests a second",
+        play.scenario, play.seed, play.nodes, play.servers, play.seconds, outcome.rate
+    );
+    let _ = write!(out, "worth served  {}", percent(tally.served_share()));
+    if let Some((from, share)) = tally.worst_ten() {
+        let _ = write!(out, "   worst 10 s  {} (from second {from})", percent(share));
+    }
+    let _ = writeln!(out, "\n{}", classes(&tally.classes));
+    let _ = writeln!(
+        out,
+        "{} requests in {} tries; {} attempts at servers; unreachable {}, ended with their node {}, left early {}, \
+         sent again as a close crossed them {}",
+        tally.requests(),
+        tally.tries,
+        tally.sends,
+        tally.unreachable,
+        tally.died_with,
+        tally.left,
+        outcome.crossed,
+    );
+    let _ = writeln!(out, "{}", nodes(outcome));
+    let breaches = outcome.referee.breaches();
+    if breaches.is_empty() {
+        let _ = writeln!(
+            out,
+            "rules   all hold: none lost, none run twice, nothing new past the limit to a server that left"
+        );
+    } else {
+        let _ = writeln!(out, "rules   BROKEN, {} times; the first for each node and server:", tally.broken);
+        for breach in breaches.iter().take(SHOWN) {
+            let _ = writeln!(out, "  {breach}");
+        }
+        if breaches.len() > SHOWN {
+            let _ = writeln!(out, "  and {} more, in the JSON file", breaches.len() - SHOWN);
+        }
+    }
+    if tally.toppled > 0 {
+        let _ = writeln!(out, "        cold servers pushed over: {}", tally.toppled);
+    }
+    for crash in outcome.nodes.iter().flat_map(|node| &node.crashes) {
+        let _ = writeln!(out, "CRASHED {crash}");
+    }
+    for fault in &outcome.faults {
+        let _ = writeln!(out, "fault   {fault}");
+    }
+    let [p50, p99, most] = outcome.lateness.map(|us| us as f64 / 1e3);
+    let _ =
+        writeln!(out, "lab     sent its requests late by p50 {p50:.2}, p99 {p99:.2}, at most {most:.1} ms");
+    if outcome.lateness[1] > LATE {
+        let _ = writeln!(
+            out,
+            "        THE LAB RAN LATE: this machine had too little time for it; times above are its own too"
+        );
+    }
+    out
+}
+
+fn table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_style(UTF8_HORIZONTAL_ONLY);
+    table.set_header(header.iter().copied());
+    for column in table.column_iter_mut().skip(1) {
+        column.set_cell_alignment(CellAlignment::Right);
+    }
+    table
+}
+
+fn classes(classes: &[ClassTally]) -> Table {
+    let mut table = table(&[
+        "class", "requests", "worth", "in time", "late", "refused", "failed", "p50 ms", "p99 ms", "p99.9 ms",
+    ]);
+    for class in classes {
+        let at = |part: f64| format!("{:.1}", class.latency.value_at_quantile(part) as f64 / 1e3);
+        table.add_row([
+            class.name.clone(),
+            class.asked.to_string(),
+            format!("{:.1} %", class.served() * 100.0),
+            class.in_time.to_string(),
+            class.late.to_string(),
+            class.refused.to_string(),
+            class.failed.to_string(),
+            at(0.5),
+            at(0.99),
+            at(0.999),
+        ]);
+    }
+    table
+}
+
+fn nodes(outcome: &Outcome) -> Table {
+    let mut table = table(&["node", "cpu s", "memory MB", "descriptors", "starts", "crashes"]);
+    for (node, report) in outcome.nodes.iter().enumerate() {
+        table.add_row([
+            format!("n{}", node + 1),
+            format!("{:.2}", report.cpu_s),
+            format!("{:.1}", report.memory_mb),
+            report.descriptors.to_string(),
+            report.starts.to_string(),
+            report.crashes.len().to_string(),
+        ]);
+    }
+    table
+}
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -166,9 +166,11 @@
     }
 
     fn advance_servers(&mut self, now: Micros, out: &mut Vec<Effect>) {
-        for (at, server) in self.servers.iter_mut().enumerate() {
-            server.advance(now, |job, ending| out.push(Effect::Done { server: at, job, ending }));
-        }
+        (0..self.servers.len()).for_each(|at| self.advance_one(now, at, out));
+    }
+
+    fn advance_one(&mut self, now: Micros, server: ServerIx, out: &mut Vec<Effect>) {
+        self.servers[server].advance(now, |job, ending| out.push(Effect::Done { server, job, ending }));
     }
 
     /// Time that a message takes one way between a node and a server.
@@ -187,7 +189,7 @@
         job: Job,
         out: &mut Vec<Effect>,
     ) -> Verdict {
-        self.advance_servers(now, out);
+        self.advance_one(now, at, out);
         let server = &mut self.servers[at];
         let work = job.work as f64;
         let verdict = server.offer(now, job);
@@ -220,13 +222,13 @@
 
     /// The request of a job was given up.
     pub fn cancel(&mut self, now: Micros, server: ServerIx, job: JobId, out: &mut Vec<Effect>) {
-        self.advance_servers(now, out);
+        self.advance_one(now, server, out);
         self.servers[server].cancel(job);
     }
 
     /// A connection comes up at a server; false where it holds as many as it can.
     pub fn connect(&mut self, now: Micros, server: ServerIx, out: &mut Vec<Effect>) -> bool {
-        self.advance_servers(now, out);
+        self.advance_one(now, server, out);
         self.servers[server].connect()
     }
 
@@ -237,7 +239,7 @@
 
     /// A probe of a server: is it well?
     pub fn probe(&mut self, now: Micros, server: ServerIx, out: &mut Vec<Effect>) -> bool {
-        self.advance_servers(now, out);
+        self.advance_one(now, server, out);
         self.servers[server].probe()
     }
 
