--- a/lab/src/host/clients.rs
+++ b/lab/src/host/clients.rs
@@ -13,7 +13,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use tokio::net::TcpStream;
-use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep_until, timeout_at};
 
@@ -28,9 +28,22 @@
 const FRONT_ASKS: Duration = Duration::from_millis(100);
 /// A connection that a node closes between requests is no fault; a client looks for another so often.
 const FRESH_TRIES: usize = 4;
+/// Requests that are due and not yet taken up.
+const DUE: usize = 1024;
 /// The first bytes of an answer tell whose it is.
 const HEAD: usize = 32;
 
+/// Hands each request on at its time, on a thread of its own: the runtime's timers step by a
+/// millisecond, which would be the load's own lateness. Ends with the receiver.
+fn send_when_due(stage: &Stage, demand: Demand, tx: &mpsc::Sender<Ask>) {
+    for ask in demand {
+        std::thread::sleep(Duration::from_micros(ask.at.saturating_sub(stage.now())));
+        if tx.blocking_send(ask).is_err() {
+            return;
+        }
+    }
+}
+
 /// Asks a node whether it is ready, as its zone's front does.
 pub async fn watch_ready(stage: Arc<Stage>, node: NodeId, addr: SocketAddr) {
     let mut ticks = tokio::time::interval(FRONT_ASKS);
@@ -114,8 +127,10 @@
     /// p99 and most) and how many requests crossed the close of their connection.
     pub async fn run(self: Arc<Self>, demand: Demand) -> ([Micros; 3], u64) {
         let mut clients = JoinSet::new();
-        for ask in demand {
-            sleep_until(self.stage.instant(ask.at)).await;
+        let (tx, mut due) = mpsc::channel(DUE);
+        let stage = self.stage.clone();
+        tokio::task::spawn_blocking(move || send_when_due(&stage, demand, &tx));
+        while let Some(ask) = due.recv().await {
             self.stage.referee(|referee| referee.asked(&ask));
             clients.spawn(self.clone().serve(ask));
             while clients.try_join_next().is_some() {}
