--- /dev/null
+++ b/lab/src/bin/broken-node.rs
@@ -0,0 +1,177 @@
+//! A node that is broken on purpose, for the referee's tests: a plain proxy that breaks the rule that
+//! `BROKEN_NODE` names, and none with `honest`. It decides nothing well and is of no other use.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
+
+type Answer = Response<Full<Bytes>>;
+
+struct Node {
+    fault: String,
+    discovery: String,
+    /// Servers as first told: ids and addresses. It never forgets one.
+    servers: Mutex<Vec<(String, String)>>,
+    left_out: Mutex<Vec<String>>,
+}
+
+fn answer(status: u16, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = StatusCode::from_u16(status).expect("a status of this file");
+    answer
+}
+
+/// Sends a request and gives the status and the body.
+async fn send(addr: &str, request: Request<Full<Bytes>>) -> Option<(u16, Bytes)> {
+    let stream = TcpStream::connect(addr).await.ok()?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await.ok()?;
+    let status = response.status().as_u16();
+    Some((status, response.into_body().collect().await.ok()?.to_bytes()))
+}
+
+impl Node {
+    async fn learn(&self) {
+        loop {
+            let request = Request::get("/api/targets").header("host", "d").body(Full::default());
+            let list = send(&self.discovery, request.expect("a request")).await;
+            let list = list.and_then(|(_, body)| serde_json::from_slice::<Value>(&body).ok());
+            for member in list.iter().flat_map(|list| list["members"].as_array()).flatten() {
+                let text = |key: &str| member[key].as_str().unwrap_or("").to_owned();
+                let server = (text("id"), text("host_port"));
+                let in_service = text("phase") == "in_service";
+                let mut servers = self.servers.lock().await;
+                if !in_service && self.fault != "sent-to-draining" {
+                    servers.retain(|known| known.0 != server.0);
+                } else if in_service && !servers.contains(&server) {
+                    servers.push(server);
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// The servers to use for a key, the first one first.
+    async fn servers_for(&self, query: &str) -> Vec<String> {
+        let out = self.left_out.lock().await.clone();
+        let servers = self.servers.lock().await;
+        let kept = |id: &String| self.fault == "sent-to-withheld" || !out.contains(id);
+        let mut fit: Vec<String> =
+            servers.iter().filter(|(id, _)| kept(id)).map(|(_, addr)| addr.clone()).collect();
+        // All nodes send all they have to the newest server: the one that is cold.
+        if self.fault == "cold-toppled" {
+            fit.reverse();
+        } else if !fit.is_empty() {
+            let by_key = query.bytes().fold(0_usize, |sum, byte| sum.wrapping_mul(31) + byte as usize);
+            let first = by_key % fit.len();
+            fit.rotate_left(first);
+        }
+        fit
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Option<Answer> {
+        if request.uri().path() == "/-/ready" {
+            return Some(answer(200, ""));
+        }
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        let unsafe_to_repeat = parts.method == Method::POST;
+        let servers = self.servers_for(parts.uri.query().unwrap_or("")).await;
+        let forward = |txn: Option<&str>| {
+            let mut copy = Request::new(Full::new(body.clone()));
+            *copy.method_mut() = parts.method.clone();
+            *copy.uri_mut() = parts.uri.clone();
+            *copy.headers_mut() = parts.headers.clone();
+            if let Some(txn) = txn {
+                copy.headers_mut().insert("x-txn", txn.parse().expect("a header of this file"));
+            }
+            copy
+        };
+        if self.fault == "unknown-request" {
+            send(servers.first()?, forward(Some("0123456789abcdef"))).await;
+        }
+        let (mut status, mut bytes) =
+            send(servers.first()?, forward(None)).await.unwrap_or((502, Bytes::new()));
+        match self.fault.as_str() {
+            "lost" => std::future::pending().await,
+            "run-twice" if unsafe_to_repeat => {
+                (status, bytes) = send(servers.get(1)?, forward(None)).await?;
+            }
+            "refused-after-run" if unsafe_to_repeat => status = 503,
+            "made-up" => bytes = Bytes::from_static(b"all is well"),
+            _ => {}
+        }
+        Some(answer(status, bytes))
+    }
+
+    /// Operators' calls.
+    async fn operate(&self, request: Request<Incoming>) -> Answer {
+        let id = request.uri().query().and_then(|query| query.strip_prefix("member=")).unwrap_or("");
+        match request.uri().path() {
+            "/maintenance/enter" => self.left_out.lock().await.push(id.to_owned()),
+            "/maintenance/exit" => self.left_out.lock().await.retain(|out| out != id),
+            _ => {}
+        }
+        answer(200, "")
+    }
+}
+
+async fn accept(node: Arc<Node>, listener: TcpListener, operators: bool) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let node = node.clone();
+        tokio::spawn(async move {
+            let twice = node.fault == "two-answers" && !operators;
+            let service = service_fn(move |request| {
+                let node = node.clone();
+                async move {
+                    let answer = match operators {
+                        true => node.operate(request).await,
+                        false => node.serve(request).await.unwrap_or_else(|| answer(502, "")),
+                    };
+                    Ok::<_, Infallible>(answer)
+                }
+            });
+            let builder = hyper::server::conn::http1::Builder::new();
+            if !twice {
+                return drop(builder.serve_connection(TokioIo::new(stream), service).await);
+            }
+            // The first answer as it should be, and a while later a second one that nobody asked for.
+            let mut connection = builder.serve_connection(TokioIo::new(stream), service);
+            let _ = tokio::time::timeout(Duration::from_millis(700), &mut connection).await;
+            let mut stream = connection.into_parts().io.into_inner();
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
+            tokio::time::sleep(Duration::from_secs(2)).await;
+        });
+    }
+}
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn main() -> std::io::Result<()> {
+    let word = |name: &str| std::env::var(name).unwrap_or_default();
+    let node = Arc::new(Node {
+        fault: word("BROKEN_NODE"),
+        discovery: word("BALANCER_DISCOVERY"),
+        servers: Mutex::default(),
+        left_out: Mutex::default(),
+    });
+    let bind = |name: &str| word(name).parse::<SocketAddr>().map_err(std::io::Error::other);
+    let clients = TcpListener::bind(bind("BALANCER_LISTEN")?).await?;
+    let operators = TcpListener::bind(bind("BALANCER_OPERATOR")?).await?;
+    tokio::spawn(accept(node.clone(), operators, true));
+    tokio::spawn(accept(node.clone(), clients, false));
+    node.learn().await;
+    Ok(())
+}
