--- a/lab/src/host/clients.rs
+++ b/lab/src/host/clients.rs
@@ -274,6 +274,23 @@
         }
     }
 
+    /// Looks whether nodes that were told to send their clients away have done so.
+    pub async fn judge_drains(self: Arc<Self>) {
+        let mut ticks = tokio::time::interval(FRONT_ASKS);
+        loop {
+            ticks.tick().await;
+            for node in self.stage.due_drains() {
+                let now = self.stage.now();
+                let ready = self.stage.front(|front| front.deals(now, node));
+                let zones = self.idle.len() / self.nodes.len();
+                let open =
+                    |zone| locked(self.slot(zone, node)).iter().filter(|l| !l.sender.is_closed()).count();
+                let idle = (0..zones).map(open).sum();
+                self.stage.referee(|referee| referee.drained(node, ready, idle, now));
+            }
+        }
+    }
+
     fn slot(&self, zone: usize, node: NodeId) -> &Mutex<Vec<Link>> {
         &self.idle[zone * self.nodes.len() + node]
     }
--- a/lab/src/host/mod.rs
+++ b/lab/src/host/mod.rs
@@ -163,6 +163,7 @@
     let zones = plan.scenario.fleet.zones.len();
     let names = plan.scenario.load.class.iter().map(|class| class.name.clone()).collect();
     let load = clients::Load::new(stage.clone(), addresses, names, zones, plan.scenario.run.sockets / 3);
+    parts.spawn(load.clone().judge_drains());
     let longest = plan.scenario.load.class.iter().map(|class| class.deadline_ms.0).fold(0.0, f64::max);
     let end = Duration::from_secs_f64(plan.seconds + longest / 1e3) + TAIL;
     let load = load.run(demand);
--- a/lab/src/host/nodes.rs
+++ b/lab/src/host/nodes.rs
@@ -301,7 +301,9 @@
             }
             Order::Do(NodeOrder::Standby(on)) => {
                 let path = if on { "/standby" } else { "/active" };
-                self.call(path.to_owned(), |_, _, _, _| {});
+                self.call(path.to_owned(), move |stage, node, _, yes| {
+                    stage.set_standby(node, yes.filter(|_| on));
+                });
             }
             Order::Do(NodeOrder::MoveDiscovery) => self.move_discovery(),
             Order::Hand(id, out) => {
--- a/lab/src/host/servers.rs
+++ b/lab/src/host/servers.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -26,6 +27,13 @@
 /// Messages each way that a new connection costs its first request (BENCH: 2 to 3 round trips).
 const HANDSHAKE_WAYS: u64 = 5;
 
+/// Connections that wait to be accepted, as the system's own default has it.
+const BACKLOG: i32 = 1024;
+/// More connections of our own than the shortest queue takes.
+const PLUGS: usize = 8;
+/// A connection to this machine that has not come up by now will not.
+const PLUGGED: Duration = Duration::from_millis(50);
+
 type Answer = Response<BoxBody<bytes::Bytes, Infallible>>;
 
 /// What a server must know of a try before it comes: the client writes it down first.
@@ -112,14 +120,19 @@
         let mut gate = stage.gate(self.server);
         loop {
             let state = *gate.borrow_and_update();
+            if state == Gate::Shut {
+                return;
+            }
+            if state == Gate::Silent {
+                let plugs = plug(&listener).await;
+                let _ = gate.wait_for(|gate| *gate != Gate::Silent).await;
+                let _ = SockRef::from(&listener).listen(BACKLOG);
+                plugs.iter().for_each(|plug| drop(plug.set_zero_linger()));
+                continue;
+            }
             let taken = tokio::select! {
-                taken = listener.accept(), if state == Gate::Open => taken,
-                _ = gate.changed() => {
-                    if *gate.borrow() == Gate::Shut {
-                        return;
-                    }
-                    continue;
-                }
+                taken = listener.accept() => taken,
+                _ = gate.changed() => continue,
             };
             let Ok((stream, _)) = taken else { continue };
             if stage.disturb(|world, now, out| world.connect(now, self.server, out)) {
@@ -220,6 +233,24 @@
     answer
 }
 
+/// Makes a listener one at which connections never come up, as at a machine that is cut off: with the
+/// shortest queue, filled by connections of our own, the system drops what else wants to connect.
+async fn plug(listener: &TcpListener) -> Vec<TcpStream> {
+    let mut plugs = Vec::new();
+    let Ok(addr) = listener.local_addr() else { return plugs };
+    if SockRef::from(listener).listen(0).is_err() {
+        return plugs;
+    }
+    while plugs.len() < PLUGS {
+        match tokio::time::timeout(PLUGGED, TcpStream::connect(addr)).await {
+            Ok(Ok(plug)) => plugs.push(plug),
+            // It hangs: the queue is full.
+            _ => break,
+        }
+    }
+    plugs
+}
+
 /// A connection's place in the server's table.
 struct Place<'a>(&'a Door);
 
--- a/lab/src/host/stage.rs
+++ b/lab/src/host/stage.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 
 use super::servers::Slips;
-use crate::referee::{Referee, TOLD_ANYWAY};
+use crate::referee::{Referee, DRAINED_AFTER, TOLD_ANYWAY};
 use crate::world::{Effect, Ending, Front, JobId, Micros, NodeId, NodeOrder, Phase, ServerIx, World};
 
 /// The pulse looks at the world at least this often.
@@ -51,6 +51,8 @@
     news: Vec<Arc<Notify>>,
     kick: Notify,
     faults: Mutex<Vec<String>>,
+    /// For each node since when it stands by, if it does.
+    standby: Mutex<Vec<Option<Micros>>>,
     /// What servers must know of the tries that are out.
     pub slips: Slips,
 }
@@ -82,6 +84,7 @@
             news: (0..nodes).map(|_| Arc::default()).collect(),
             kick: Notify::new(),
             faults: Mutex::default(),
+            standby: Mutex::new(vec![None; nodes]),
             slips: Slips::default(),
         };
         (stage, ends)
@@ -181,6 +184,21 @@
         std::mem::take(&mut locked(&self.faults))
     }
 
+    /// A node was told to send its clients away (since when), or takes them again.
+    pub fn set_standby(&self, node: NodeId, since: Option<Micros>) {
+        locked(&self.standby)[node] = since;
+    }
+
+    /// The nodes that must have let go of their clients by now; each is named once.
+    pub fn due_drains(&self) -> Vec<NodeId> {
+        let now = self.now();
+        let mut standby = locked(&self.standby);
+        let due = |since: &Option<Micros>| since.is_some_and(|since| since + DRAINED_AFTER <= now);
+        let nodes: Vec<NodeId> = (0..standby.len()).filter(|&node| due(&standby[node])).collect();
+        nodes.iter().for_each(|&node| standby[node] = None);
+        nodes
+    }
+
     /// Wakes when a node's agent has something new.
     pub fn news(&self, node: NodeId) -> Arc<Notify> {
         self.news[node].clone()
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -71,6 +71,10 @@
     if let Some(logs) = &up.logs {
         std::fs::create_dir_all(logs).map_err(|e| format!("--logs {}: {e}", logs.display()))?;
     }
+    if let Some(path) = &up.json {
+        // Better told now than after the play.
+        std::fs::File::create(path).map_err(|e| format!("--json {}: {e}", path.display()))?;
+    }
     let play = Play {
         scenario: up.scenario.clone(),
         seed: up.seed,
--- a/lab/src/referee/mod.rs
+++ b/lab/src/referee/mod.rs
@@ -22,6 +22,8 @@
 pub const TOLD_ANYWAY: Micros = 6_000_000;
 /// A call to leave a server out binds after this at the latest (DAYS).
 pub const OUT_ANYWAY: Micros = 1_000_000;
+/// A node told to stand by must have let go of its clients after this (DAYS).
+pub const DRAINED_AFTER: Micros = 4_000_000;
 /// A cold server's fall counts against the nodes where they sent this part of the work knowingly.
 pub const TOLD_PART: f64 = 2.0 / 3.0;
 
@@ -285,6 +287,16 @@
         }
     }
 
+    /// Well after a node was told to send its clients away, `at`: whether it still says that it is
+    /// ready, and how many connections it holds idle.
+    pub fn drained(&mut self, node: NodeId, ready: bool, idle: usize, at: Micros) {
+        if ready || idle > 0 {
+            let what =
+                format!("told to stand by, it says ready: {ready}; idle connections of clients: {idle}");
+            self.breach(Rule::NotDrained, None, Some(node), None, at, what);
+        }
+    }
+
     fn check_drain(&mut self, txn: Option<&str>, node: NodeId, server: &str, at: Micros) {
         let told = self.told[node].get(server).filter(|told| told.phase != Phase::InService);
         let out = self.out.get(server).and_then(|out| out[node]);
--- a/lab/src/referee/rules.rs
+++ b/lab/src/referee/rules.rs
@@ -27,6 +27,8 @@
     SentToWithheld,
     /// No cold server pushed over by the nodes.
     ColdToppled,
+    /// A node whose clients were sent away has let go of them in time.
+    NotDrained,
 }
 
 impl Rule {
@@ -42,6 +44,7 @@
             Rule::SentToDraining => "sent-to-draining",
             Rule::SentToWithheld => "sent-to-withheld",
             Rule::ColdToppled => "cold-toppled",
+            Rule::NotDrained => "not-drained",
         }
     }
 }
--- a/lab/tests/sockets.rs
+++ b/lab/tests/sockets.rs
@@ -40,6 +40,7 @@
 const NONE: &str = "";
 const DRAIN: &str = "[[trouble]]\nat_s = 0.5\nkind = \"replace\"\npart = 0.25\nstep_s = 0";
 const HAND: &str = "[[trouble]]\nat_s = 0.5\nkind = \"hand\"\npart = 0.5\nfor_s = 6";
+const STANDBY: &str = "[[trouble]]\nat_s = 0.5\nkind = \"drain\"\npart = 1\nfor_s = 6";
 const COLD: &str = "[discovery]\nadd_s = 0\nnotice_s = 0\nperiod_ms = 20\nspread_ms = 1\n\
     [[trouble]]\nat_s = 0.5\nkind = \"restart\"\npart = 1\nfor_s = 0.2\n\
     [[trouble]]\nat_s = 0\nkind = \"burst\"\nfor_s = 8\nsize = 5";
@@ -64,6 +65,7 @@
         ("sent-to-draining", DRAIN, Rule::SentToDraining),
         ("sent-to-withheld", HAND, Rule::SentToWithheld),
         ("cold-toppled", COLD, Rule::ColdToppled),
+        ("not-drained", STANDBY, Rule::NotDrained),
     ];
     let plays = faults.map(|(fault, trouble, _)| tokio::spawn(named(fault, trouble)));
     for ((fault, _, rule), play) in faults.into_iter().zip(plays) {
