--- a/lab/src/host/clients.rs
+++ b/lab/src/host/clients.rs
@@ -231,7 +231,7 @@
         if link.sender.ready().await.is_err() {
             return End::NotSent;
         }
-        let left = attempt.until.saturating_sub(self.stage.now()) / 1_000;
+        let left = attempt.says.saturating_sub(self.stage.now()) / 1_000;
         let method = if ask.repeats == Repeats::Unsafe { Method::POST } else { Method::GET };
         let request = Request::builder()
             .method(method)
--- a/lab/src/sim/run.rs
+++ b/lab/src/sim/run.rs
@@ -189,12 +189,12 @@
         let txn = format!("{:012x}{:04x}", ask.serial, attempt.number);
         let id = request_id(&txn);
         self.referee.taken(&txn, &ask, self.processes[process].node, attempt.until);
-        let held = Held { txn, client, until: attempt.until, answered: false, attempts: Vec::new() };
+        let held = Held { txn, client, until: attempt.says, answered: false, attempts: Vec::new() };
         self.processes[process].held.insert(id, held);
         self.queue.push(attempt.until, Due::GiveUp(process, id));
         let request = Request {
             id,
-            patience: attempt.until - self.now,
+            patience: attempt.says - self.now,
             class: ClassId(ask.class),
             cost: Some(ask.hint),
             repeat: false,
--- a/lab/src/world/client.rs
+++ b/lab/src/world/client.rs
@@ -28,6 +28,8 @@
     pub at: Micros,
     /// When the client gives it up.
     pub until: Micros,
+    /// When it says that it will: a client that leaves early does not know so.
+    pub says: Micros,
 }
 
 /// One client with one request.
@@ -56,11 +58,9 @@
         }
         let number = self.tried;
         self.tried += 1;
-        let mut until = now + (self.ask.deadline as f64 * self.ask.try_share) as Micros;
-        if let Some(leaves) = self.ask.leaves.filter(|_| number == 0) {
-            until = until.min(now + leaves);
-        }
-        Some(Try { number, at: now, until: until.min(ends) })
+        let says = (now + (self.ask.deadline as f64 * self.ask.try_share) as Micros).min(ends);
+        let leaves = self.ask.leaves.map_or(says, |after| now + after);
+        Some(Try { number, at: now, until: says.min(leaves), says })
     }
 
     /// When it tries again after this answer, if it does. What must not run twice is tried again only
@@ -123,6 +123,14 @@
         assert_eq!(client.try_at(3_000_000), None, "its time is over");
     }
 
+    #[test]
+    fn a_client_that_leaves_early_says_nothing_of_it_and_does_not_come_back() {
+        let mut client = Client::new(Ask { leaves: Some(50_000), ..ask(Repeats::Safe) });
+        let only = client.try_at(1_000_000).unwrap();
+        assert_eq!((only.until, only.says), (1_050_000, 2_000_000));
+        assert_eq!(client.after(1_050_000, Answer::Nothing), None);
+    }
+
     #[test]
     fn what_must_not_run_twice_is_tried_again_only_where_nothing_ran() {
         let mut client = Client::new(ask(Repeats::Unsafe));
