Lab: experiments over a grid of plays, paired by seed, resumed where they stopped

Cause: single plays of a decision say little; seeds differ by more than decisions do.

A node that gets SIGTERM in virtual time takes what comes for 0.4 s more, as on sockets (65 requests had found no node).

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -28,6 +28,11 @@
     ///
     /// Exit status as of `up`.
     Sim(Sim),
+    /// Play a grid of scenarios, sizes, policies and variants over seeds, and compare it pair by pair
+    ///
+    /// Results stream to results.jsonl in the folder. Exit status: 0 when all rules hold in all plays,
+    /// 1 when not, 2 when nothing could be played.
+    Experiment(Experiment),
     /// List the scenarios that ship, a line each
     Scenarios,
 }
@@ -61,6 +66,22 @@
     pub node: Option<PathBuf>,
 }
 
+/// The options of `experiment`.
+#[derive(Args, Debug)]
+pub struct Experiment {
+    /// The file that describes it, as lab/experiments/baselines.toml does
+    pub file: PathBuf,
+    /// Where the results are kept
+    #[arg(long, value_name = "DIR", default_value = "found/experiment")]
+    pub out: PathBuf,
+    /// Plays at a time [default: as many as there are cores]
+    #[arg(long, value_name = "N", default_value_t = 0, hide_default_value = true)]
+    pub jobs: usize,
+    /// Go on with the results that are there, and play only what they lack
+    #[arg(long)]
+    pub resume: bool,
+}
+
 /// The options of `sim`.
 #[derive(Args, Debug)]
 pub struct Sim {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -9,13 +9,14 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use woodgap_lab::experiment::{self, Grid, Store};
 use woodgap_lab::host::{self, Deploy, HostError, Plan};
 use woodgap_lab::outcome::Outcome;
 use woodgap_lab::report::{self, Live, Play};
 use woodgap_lab::scenario::{Scenario, SHIPPED};
 use woodgap_lab::sim::{self, SimPlan};
 
-use cli::{Cli, Command, Sim, Up};
+use cli::{Cli, Command, Experiment, Sim, Up};
 
 /// A rule was broken or a node crashed.
 const BROKEN: u8 = 1;
@@ -32,6 +33,7 @@
     let done = match cli.command {
         Command::Up(up) => play(&up),
         Command::Sim(sim) => simulate(&sim),
+        Command::Experiment(experiment) => experiment_with(&experiment),
         Command::Scenarios => scenarios(),
     };
     done.unwrap_or_else(|error| {
@@ -124,6 +126,18 @@
     conclude(&play, &sim::play(&plan), sim.json.as_deref())
 }
 
+fn experiment_with(experiment: &Experiment) -> Result<ExitCode, Box<dyn Error>> {
+    let file = experiment.file.display().to_string();
+    let text = std::fs::read_to_string(&experiment.file).map_err(|error| format!("{file}: {error}"))?;
+    let grid = Grid::read(&file, &text)?;
+    let store = Store::open(&experiment.out, experiment.resume, |word| eprintln!("woodgap-lab: {word}"))?;
+    let rows = experiment::run(&grid, store, experiment.jobs)?;
+    let comparisons = experiment::compare(&rows);
+    stdout().lock().write_all(experiment::text(&rows, &comparisons).as_bytes())?;
+    let kept = rows.iter().all(|row| row.rules_broken == 0);
+    Ok(if kept { ExitCode::SUCCESS } else { ExitCode::from(BROKEN) })
+}
+
 /// Better told now than after the play that the file can't be written.
 fn open_json(path: Option<&Path>) -> Result<(), String> {
     let opened =
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -71,16 +71,20 @@
 impl Scenario {
     /// The shipped scenario of this name, or the file at this path.
     pub fn find(name: &str) -> Result<Scenario, ScenarioError> {
+        Scenario::read(name, &Scenario::text(name)?)
+    }
+
+    /// The text of the shipped scenario of this name, or of the file at this path.
+    pub fn text(name: &str) -> Result<String, ScenarioError> {
         if let Some((_, text)) = SHIPPED.iter().find(|(shipped, _)| *shipped == name) {
-            return Scenario::read(&format!("{name}.toml"), text);
+            return Ok((*text).to_owned());
         }
         if !Path::new(name).is_file() {
             let near = nearest(name, SHIPPED.iter().map(|(shipped, _)| *shipped));
             return Err(ScenarioError::Unknown { name: name.to_owned(), near });
         }
-        let text = std::fs::read_to_string(name)
-            .map_err(|error| ScenarioError::Unreadable { path: name.to_owned(), error })?;
-        Scenario::read(name, &text)
+        std::fs::read_to_string(name)
+            .map_err(|error| ScenarioError::Unreadable { path: name.to_owned(), error })
     }
 
     /// Reads a file's text; `file` is its name in messages.
--- a/lab/src/sim/run.rs
+++ b/lab/src/sim/run.rs
@@ -25,6 +25,8 @@
 
 /// A node that has started is ready, and the front knows it, after this.
 const READY: Micros = 100_000;
+/// Clients still come to a process for this long after SIGTERM (PROTOCOL: 0.2 to 0.4 s).
+const STILL_TAKES: Micros = 400_000;
 /// Messages each way that a new connection costs its first request (BENCH: 2 to 3 round trips).
 const HANDSHAKE_WAYS: u64 = 5;
 
@@ -46,6 +48,8 @@
     Judge(ProcessIx, RequestId),
     /// A node's front takes it in.
     Ready(NodeId),
+    /// A process that was told to end takes nothing new from here on.
+    Retire(ProcessIx),
 }
 
 /// A play under way.
@@ -159,6 +163,12 @@
             Due::Ended(process, id, attempt, end) => self.end_attempt(process, id, attempt, end),
             Due::GiveUp(process, id) => self.give_up(process, id),
             Due::Judge(process, id) => self.judge(process, id),
+            Due::Retire(process) => {
+                let node = self.processes[process].node;
+                if self.serving[node] == Some(process) {
+                    self.serving[node] = None;
+                }
+            }
             Due::Ready(node) => {
                 if self.serving[node].is_some() {
                     self.front.said(self.now, node, true);
@@ -565,10 +575,11 @@
                 let killed: Vec<ProcessIx> = (0..self.processes.len()).filter(of_node).collect();
                 killed.into_iter().for_each(|process| self.kill(process));
             }
-            // What the old process has, it finishes; new requests find no node until the next starts.
+            // What the process has, it finishes; what comes while the front does not know yet, it takes.
             NodeOrder::Stop => {
-                self.serving[node] = None;
                 self.front.said(self.now, node, false);
+                let process = self.serving[node];
+                process.into_iter().for_each(|p| self.queue.push(self.now + STILL_TAKES, Due::Retire(p)));
             }
             NodeOrder::Start => {
                 self.start(node);
