Lab: programs on the simulator's wire as policies; streams recorded and replayed

Cause: an older build could not be measured beside today's in one run, and nothing showed that a change of the module's form leaves its actions alone.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -33,6 +33,10 @@
     /// Results stream to results.jsonl in the folder. Exit status: 0 when all rules hold in all plays,
     /// 1 when not, 2 when nothing could be played.
     Experiment(Experiment),
+    /// Play a recorded stream of one node to the decisions again and compare each action
+    ///
+    /// Exit status: 0 when all actions are identical, 1 at the first that is not, 2 otherwise.
+    Replay(Replay),
     /// List the scenarios that ship, a line each
     Scenarios,
 }
@@ -66,6 +70,16 @@
     pub node: Option<PathBuf>,
 }
 
+/// The options of `replay`.
+#[derive(Args, Debug)]
+pub struct Replay {
+    /// A stream that `sim --events` wrote
+    pub file: PathBuf,
+    /// Replay to this command, rather than to what deploy/balancer.toml builds and names as sim
+    #[arg(long, value_name = "COMMAND")]
+    pub sim: Option<String>,
+}
+
 /// The options of `experiment`.
 #[derive(Args, Debug)]
 pub struct Experiment {
@@ -101,9 +115,13 @@
     #[arg(long, value_name = "N", default_value_t = 1)]
     pub seed: u64,
     /// What decides in each node: node (the module), random, round-robin, two-choices,
-    /// least-outstanding, ring-bounded, maglev-plain, oracle
+    /// least-outstanding, ring-bounded, maglev-plain, oracle, or wire:COMMAND, a program that speaks
+    /// the simulator's wire, such as an older build's woodgap-simhost
     #[arg(long, value_name = "P", default_value = "node")]
     pub policy: PolicyKind,
+    /// Write the first node's stream of events and actions to this file, for `replay`
+    #[arg(long, value_name = "FILE")]
+    pub events: Option<PathBuf>,
     /// Write the figures to this file, too
     #[arg(long, value_name = "FILE")]
     pub json: Option<PathBuf>,
--- a/lab/src/experiment/compare.rs
+++ b/lab/src/experiment/compare.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use comfy_table::presets::UTF8_BORDERS_ONLY;
 use comfy_table::Table;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -113,7 +113,7 @@
 /// The comparisons as a table, a star where the interval leaves 0 out; then what broke a rule.
 pub fn text(rows: &[Row], comparisons: &[Comparison]) -> String {
     let mut table = Table::new();
-    table.load_style(UTF8_HORIZONTAL_ONLY);
+    table.load_style(UTF8_BORDERS_ONLY);
     table.set_header(["group", "figure", "policies", "means %", "difference, 95 % of it", "wins", "seeds"]);
     for c in comparisons {
         let sure = if c.interval.0 > 0.0 || c.interval.1 < 0.0 { " *" } else { "" };
--- a/lab/src/experiment/grid.rs
+++ b/lab/src/experiment/grid.rs
@@ -102,14 +102,15 @@
                     if size.nodes == 0 || size.servers == 0 || size.nodes > 1000 || size.servers > 1000 {
                         return Err(fault("sizes: expected 1 to 1000 nodes and servers".into()));
                     }
-                    for &policy in &policies {
+                    for policy in &policies {
                         for seed in form.seeds.from..form.seeds.from.saturating_add(form.seeds.count) {
                             let plan = SimPlan {
                                 seed,
                                 nodes: size.nodes,
                                 servers: size.servers,
                                 seconds: form.seconds.unwrap_or(scenario.run.seconds.0),
-                                policy,
+                                policy: policy.clone(),
+                                record: false,
                                 scenario: scenario.clone(),
                             };
                             cells.push(Cell { scenario: name.clone(), variant: variant.name.clone(), plan });
--- a/lab/src/experiment/mod.rs
+++ b/lab/src/experiment/mod.rs
@@ -37,6 +37,9 @@
         /// Why.
         error: std::io::Error,
     },
+    /// A program on the wire.
+    #[error(transparent)]
+    Wire(#[from] crate::wire::WireError),
     /// Results of an earlier run are there.
     #[error("{} holds results; go on with --resume, or name another folder with --out", .0.display())]
     Exists(PathBuf),
@@ -60,18 +63,19 @@
     let pool = pool.map_err(|error| ExperimentError::io(store.path(), std::io::Error::other(error)))?;
     let path = store.path().to_owned();
     let shared = Mutex::new(store);
-    let played: Result<Vec<()>, std::io::Error> = pool.install(|| {
+    let played: Result<Vec<()>, ExperimentError> = pool.install(|| {
         missing
             .par_iter()
             .map(|cell| {
-                let row = Row::new(cell, &sim::play(&cell.plan()));
+                let row = Row::new(cell, &sim::play(&cell.plan())?.outcome);
                 bar.inc(1);
-                shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner).add(row)
+                let mut store = shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                store.add(row).map_err(|error| ExperimentError::io(&path, error))
             })
             .collect()
     });
     bar.finish_and_clear();
-    played.map_err(|error| ExperimentError::io(&path, error))?;
+    played?;
     let store = shared.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
     Ok(cells.iter().filter_map(|cell| store.get(&cell.key()).cloned()).collect())
 }
--- a/lab/src/experiment/results.rs
+++ b/lab/src/experiment/results.rs
@@ -58,7 +58,7 @@
         Row {
             key: cell.key(),
             group: cell.group(),
-            policy: plan.policy.name().to_owned(),
+            policy: plan.policy.name(),
             seed: plan.seed,
             served: tally.served_share(),
             worst_10s: tally.worst_ten().map(|(_, share)| share),
--- a/lab/src/host/deploy.rs
+++ b/lab/src/host/deploy.rs
@@ -38,12 +38,15 @@
     pub build: String,
     /// Starts it.
     pub run: String,
+    /// Starts the same decisions on the simulator's wire.
+    pub sim: String,
 }
 
 #[derive(Deserialize)]
 struct File {
     build: String,
     run: String,
+    sim: String,
 }
 
 impl Deploy {
@@ -55,7 +58,7 @@
         let unreadable = |what: String| DeployError::Unreadable { path: path.display().to_string(), what };
         let text = std::fs::read_to_string(&path).map_err(|error| unreadable(error.to_string()))?;
         let file: File = toml::from_str(&text).map_err(|error| unreadable(error.to_string()))?;
-        Ok(Deploy { root, build: file.build, run: file.run })
+        Ok(Deploy { root, build: file.build, run: file.run, sim: file.sim })
     }
 
     /// Builds the node; what the build prints goes to standard error.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod scenario;
 pub mod sim;
 pub mod terms;
+pub mod wire;
 pub mod world;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -15,8 +15,9 @@
 use woodgap_lab::report::{self, Live, Play};
 use woodgap_lab::scenario::{Scenario, SHIPPED};
 use woodgap_lab::sim::{self, SimPlan};
+use woodgap_lab::wire::{self, Child};
 
-use cli::{Cli, Command, Experiment, Sim, Up};
+use cli::{Cli, Command, Experiment, Replay, Sim, Up};
 
 /// A rule was broken or a node crashed.
 const BROKEN: u8 = 1;
@@ -33,6 +34,7 @@
     let done = match cli.command {
         Command::Up(up) => play(&up),
         Command::Sim(sim) => simulate(&sim),
+        Command::Replay(stream) => replay(&stream),
         Command::Experiment(experiment) => experiment_with(&experiment),
         Command::Scenarios => scenarios(),
     };
@@ -112,7 +114,8 @@
         nodes: sim.nodes.unwrap_or(scenario.run.nodes),
         servers: sim.servers.unwrap_or(scenario.run.servers),
         seconds: sim.seconds.unwrap_or(scenario.run.seconds.0),
-        policy: sim.policy,
+        policy: sim.policy.clone(),
+        record: sim.events.is_some(),
         scenario,
     };
     let play = Play {
@@ -123,7 +126,35 @@
         servers: plan.servers,
         seconds: plan.seconds,
     };
-    conclude(&play, &sim::play(&plan), sim.json.as_deref())
+    let played = sim::play(&plan)?;
+    if let (Some(path), Some(stream)) = (&sim.events, &played.stream) {
+        std::fs::write(path, stream).map_err(|e| format!("--events {}: {e}", path.display()))?;
+    }
+    conclude(&play, &played.outcome, sim.json.as_deref())
+}
+
+fn replay(replay: &Replay) -> Result<ExitCode, Box<dyn Error>> {
+    let file = replay.file.display().to_string();
+    let text = std::fs::read_to_string(&replay.file).map_err(|error| format!("{file}: {error}"))?;
+    let command = match &replay.sim {
+        Some(command) => command.clone(),
+        None => {
+            let deploy = Deploy::find(&std::env::current_dir()?)?;
+            deploy.build()?;
+            let quoted = shlex::try_quote(&deploy.root.to_string_lossy())?.into_owned();
+            format!("cd {quoted} && {}", deploy.sim)
+        }
+    };
+    let replayed = wire::replay(&file, &text, &mut Child::start(&command)?)?;
+    let mut out = stdout().lock();
+    match &replayed.differs {
+        None => writeln!(out, "identical: {} batches, {} actions", replayed.batches, replayed.actions)?,
+        Some((line, was, is)) => {
+            writeln!(out, "differs at {file}:{line}, after {} batches alike", replayed.batches)?;
+            writeln!(out, "  recorded  {was}\n  now       {is}")?;
+        }
+    }
+    Ok(if replayed.differs.is_none() { ExitCode::SUCCESS } else { ExitCode::from(BROKEN) })
 }
 
 fn experiment_with(experiment: &Experiment) -> Result<ExitCode, Box<dyn Error>> {
--- a/lab/src/policy/baseline.rs
+++ b/lab/src/policy/baseline.rs
@@ -9,6 +9,7 @@
 
 use super::choose::{Choose, View};
 use super::{Policy, Truth};
+use crate::wire::WireError;
 use crate::world::Micros;
 
 struct Held {
@@ -106,7 +107,13 @@
 }
 
 impl Policy for Baseline {
-    fn on_event(&mut self, now: Micros, event: Event, truth: Truth<'_>, out: &mut Vec<Action>) {
+    fn on_event(
+        &mut self,
+        now: Micros,
+        event: Event,
+        truth: Truth<'_>,
+        out: &mut Vec<Action>,
+    ) -> Result<(), WireError> {
         match event {
             Event::Sync { kind, members } => {
                 if matches!(kind, SyncKind::Full | SyncKind::Cached) {
@@ -138,5 +145,6 @@
             | Event::Timer(_)
             | Event::Peer { .. } => {}
         }
+        Ok(())
     }
 }
--- a/lab/src/policy/mod.rs
+++ b/lab/src/policy/mod.rs
@@ -4,16 +4,21 @@
 
 mod baseline;
 mod choose;
+mod remote;
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::str::FromStr;
 
 use strsim::jaro_winkler;
 use woodgap::{Action, Balancer, Event, ServerId, Settings};
 
+use crate::wire::{settings_line, Child, WireError};
 use crate::world::{Micros, World};
 use baseline::Baseline;
 use choose::{Choose, LeastOutstanding, MaglevPlain, Oracle, Random, RingBounded, RoundRobin, TwoChoices};
+use remote::Remote;
 
 /// What the oracle may look at, and nobody else: the true state, and where each server stands in it.
 #[derive(Clone, Copy, Debug)]
@@ -31,17 +36,32 @@
 /// The decisions of one node.
 pub trait Policy {
     /// Takes an event at `now` (the node's own clock) and adds what the node is to do.
-    fn on_event(&mut self, now: Micros, event: Event, truth: Truth<'_>, out: &mut Vec<Action>);
+    ///
+    /// Only one on the other end of a wire can fail.
+    fn on_event(
+        &mut self,
+        now: Micros,
+        event: Event,
+        truth: Truth<'_>,
+        out: &mut Vec<Action>,
+    ) -> Result<(), WireError>;
 }
 
 impl Policy for Balancer {
-    fn on_event(&mut self, now: Micros, event: Event, _: Truth<'_>, out: &mut Vec<Action>) {
+    fn on_event(
+        &mut self,
+        now: Micros,
+        event: Event,
+        _: Truth<'_>,
+        out: &mut Vec<Action>,
+    ) -> Result<(), WireError> {
         Balancer::on_event(self, now, event, out);
+        Ok(())
     }
 }
 
 /// A policy by name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PolicyKind {
     /// The decision module.
     Node,
@@ -57,12 +77,17 @@
     RingBounded,
     /// The bare slot table (PAPER, section 3.4) without the module's overflow.
     MaglevPlain,
-    /// Sees each server's true state: the ceiling.
+    /// Sees each server's true state: the ceiling, but in overload.
     Oracle,
+    /// A program that speaks the simulator's wire, by its command for a shell.
+    Wire(String),
 }
 
+/// What `wire:COMMAND` begins with.
+const WIRE: &str = "wire:";
+
 impl PolicyKind {
-    /// All of them, in the order of the tables.
+    /// All of the lab's own, in the order of the tables.
     pub const ALL: [PolicyKind; 8] = [
         PolicyKind::Node,
         PolicyKind::Random,
@@ -75,8 +100,8 @@
     ];
 
     /// Its name on the command line.
-    pub fn name(self) -> &'static str {
-        match self {
+    pub fn name(&self) -> String {
+        let name = match self {
             PolicyKind::Node => "node",
             PolicyKind::Random => "random",
             PolicyKind::RoundRobin => "round-robin",
@@ -85,22 +110,46 @@
             PolicyKind::RingBounded => "ring-bounded",
             PolicyKind::MaglevPlain => "maglev-plain",
             PolicyKind::Oracle => "oracle",
-        }
+            PolicyKind::Wire(command) => return format!("{WIRE}{command}"),
+        };
+        name.to_owned()
+    }
+}
+
+/// Starts the decisions of the nodes of one play.
+pub struct Starter {
+    kind: PolicyKind,
+    names: Rc<[String]>,
+    child: Option<Rc<RefCell<Child>>>,
+}
+
+impl Starter {
+    /// A starter; `names` are those of the classes. A program on the wire begins here.
+    pub fn new(kind: &PolicyKind, names: &[String]) -> Result<Starter, WireError> {
+        let child = match kind {
+            PolicyKind::Wire(command) => Some(Rc::new(RefCell::new(Child::start(command)?))),
+            _ => None,
+        };
+        Ok(Starter { kind: kind.clone(), names: names.into(), child })
     }
 
-    /// A node's decisions under this policy.
-    pub fn start(self, settings: Settings, seed: u64) -> Box<dyn Policy> {
-        let baseline = |choose: Box<dyn Choose>| Box::new(Baseline::new(settings.clone(), choose));
-        match self {
-            PolicyKind::Node => Box::new(Balancer::new(settings, seed)),
-            PolicyKind::Random => baseline(Box::new(Random::new(seed))),
-            PolicyKind::RoundRobin => baseline(Box::<RoundRobin>::default()),
-            PolicyKind::TwoChoices => baseline(Box::new(TwoChoices::new(seed))),
-            PolicyKind::LeastOutstanding => baseline(Box::new(LeastOutstanding)),
-            PolicyKind::RingBounded => baseline(Box::<RingBounded>::default()),
-            PolicyKind::MaglevPlain => baseline(Box::<MaglevPlain>::default()),
-            PolicyKind::Oracle => baseline(Box::new(Oracle)),
+    /// The decisions of a process; `instance` is a number that no other of the play has.
+    pub fn start(&self, settings: Settings, seed: u64, instance: usize) -> Box<dyn Policy> {
+        if let Some(child) = &self.child {
+            let spawn = format!("SPAWN {seed} {}\n", settings_line(&settings, &self.names));
+            return Box::new(Remote::new(child.clone(), instance, self.names.clone(), spawn));
         }
+        let choose: Box<dyn Choose> = match self.kind {
+            PolicyKind::Random => Box::new(Random::new(seed)),
+            PolicyKind::RoundRobin => Box::<RoundRobin>::default(),
+            PolicyKind::TwoChoices => Box::new(TwoChoices::new(seed)),
+            PolicyKind::LeastOutstanding => Box::new(LeastOutstanding),
+            PolicyKind::RingBounded => Box::<RingBounded>::default(),
+            PolicyKind::MaglevPlain => Box::<MaglevPlain>::default(),
+            PolicyKind::Oracle => Box::new(Oracle),
+            PolicyKind::Node | PolicyKind::Wire(_) => return Box::new(Balancer::new(settings, seed)),
+        };
+        Box::new(Baseline::new(settings, choose))
     }
 }
 
@@ -111,8 +160,12 @@
         if let Some(kind) = Self::ALL.into_iter().find(|kind| kind.name() == text) {
             return Ok(kind);
         }
-        let names = Self::ALL.map(Self::name);
+        if let Some(command) = text.strip_prefix(WIRE).filter(|command| !command.is_empty()) {
+            return Ok(PolicyKind::Wire(command.to_owned()));
+        }
+        let names = Self::ALL.map(|kind| kind.name());
         let near = names.iter().max_by(|a, b| jaro_winkler(text, a).total_cmp(&jaro_winkler(text, b)));
-        Err(format!("expected one of {}; did you mean '{}'?", names.join(", "), near.unwrap_or(&"node")))
+        let near = near.map(String::as_str).unwrap_or("node");
+        Err(format!("expected {}, or wire:COMMAND; did you mean '{near}'?", names.join(", ")))
     }
 }
--- a/lab/src/report/json.rs
+++ b/lab/src/report/json.rs
@@ -11,7 +11,7 @@
 #[derive(Serialize)]
 struct Report<'a> {
     scenario: &'a str,
-    policy: Option<&'static str>,
+    policy: Option<&'a str>,
     seed: u64,
     seconds: f64,
     /// Share of worth.
@@ -84,7 +84,7 @@
     });
     let report = Report {
         scenario: &play.scenario,
-        policy: play.policy,
+        policy: play.policy.as_deref(),
         seed: play.seed,
         seconds: play.seconds,
         served: tally.served_share(),
--- a/lab/src/report/mod.rs
+++ b/lab/src/report/mod.rs
@@ -21,7 +21,7 @@
     /// The scenario's name.
     pub scenario: String,
     /// What decided, in virtual time; `None` for real processes.
-    pub policy: Option<&'static str>,
+    pub policy: Option<String>,
     /// Its seed.
     pub seed: u64,
     /// Nodes.
--- a/lab/src/report/table.rs
+++ b/lab/src/report/table.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use comfy_table::presets::UTF8_BORDERS_ONLY;
 use comfy_table::{CellAlignment, Table};
 
 use super::{Play, LATE};
@@ -22,7 +22,7 @@
         "\n{}, seed {}{}: {} nodes, {} servers, {:.0} s, {:.0} requests a second",
         play.scenario,
         play.seed,
-        play.policy.map(|policy| format!(", {policy} in virtual time")).unwrap_or_default(),
+        play.policy.as_ref().map(|policy| format!(", {policy} in virtual time")).unwrap_or_default(),
         play.nodes,
         play.servers,
         play.seconds,
@@ -88,7 +88,7 @@
 
 fn table(header: &[&str]) -> Table {
     let mut table = Table::new();
-    table.load_style(UTF8_HORIZONTAL_ONLY);
+    table.load_style(UTF8_BORDERS_ONLY);
     table.set_header(header.iter().copied());
     for column in table.column_iter_mut().skip(1) {
         column.set_cell_alignment(CellAlignment::Right);
--- a/lab/src/sim/mod.rs
+++ b/lab/src/sim/mod.rs
@@ -14,6 +14,7 @@
 use crate::outcome::Outcome;
 use crate::policy::PolicyKind;
 use crate::scenario::Scenario;
+use crate::wire::WireError;
 
 /// What is to be played.
 #[derive(Clone, Debug)]
@@ -30,11 +31,22 @@
     pub seconds: f64,
     /// What decides in each node.
     pub policy: PolicyKind,
+    /// Whether the stream of the first node's first process is kept.
+    pub record: bool,
 }
 
 /// Plays a plan to its end.
-pub fn play(plan: &SimPlan) -> Outcome {
-    run::Run::new(plan).into_outcome()
+pub fn play(plan: &SimPlan) -> Result<Played, WireError> {
+    run::Run::new(plan)?.into_outcome()
+}
+
+/// What a play in virtual time ends with.
+#[derive(Debug)]
+pub struct Played {
+    /// As of a play on sockets.
+    pub outcome: Outcome,
+    /// The stream of the first node's first process, if it was to be kept (see [`crate::wire`]).
+    pub stream: Option<String>,
 }
 
 #[cfg(test)]
@@ -44,11 +56,11 @@
 
     fn plan(scenario: &str, policy: PolicyKind, seconds: f64) -> SimPlan {
         let scenario = Scenario::find(scenario).unwrap();
-        SimPlan { scenario, seed: 4, nodes: 4, servers: 9, seconds, policy }
+        SimPlan { scenario, seed: 4, nodes: 4, servers: 9, seconds, policy, record: false }
     }
 
     fn bytes(plan: &SimPlan) -> String {
-        let outcome = play(plan);
+        let outcome = play(plan).unwrap().outcome;
         let tally = outcome.referee.tally();
         format!("{tally:?} {:?}", outcome.referee.breaches())
     }
@@ -68,7 +80,7 @@
     fn every_policy_ends_every_request_and_keeps_the_rules_on_resends() {
         for policy in PolicyKind::ALL {
             for scenario in ["lost-zone", "upgrade", "hand-and-drain"] {
-                let outcome = play(&plan(scenario, policy, 15.0));
+                let outcome = play(&plan(scenario, policy.clone(), 15.0)).unwrap().outcome;
                 let tally = outcome.referee.tally();
                 assert!(tally.requests() > 500 && tally.served_share() > 0.3, "{policy:?} {scenario}");
                 let kept = |rule| outcome.referee.breaches().iter().all(|breach| breach.rule != rule);
@@ -83,10 +95,10 @@
 
     #[test]
     fn seeing_the_true_state_is_worth_more_than_chance_and_so_is_the_module() {
-        let served = |policy| {
+        let served = |policy: PolicyKind| {
             let runs = (1..=3).map(|seed| {
-                let plan = SimPlan { seed, ..plan("bad-servers", policy, 20.0) };
-                play(&plan).referee.tally().served_share()
+                let plan = SimPlan { seed, ..plan("bad-servers", policy.clone(), 20.0) };
+                play(&plan).unwrap().outcome.referee.tally().served_share()
             });
             runs.sum::<f64>() / 3.0
         };
--- a/lab/src/sim/node.rs
+++ b/lab/src/sim/node.rs
@@ -6,6 +6,7 @@
 use woodgap::{Action, Event, RequestId};
 
 use crate::policy::{Policy, Truth};
+use crate::wire::WireError;
 use crate::world::{JobId, Micros, NodeId, ServerIx};
 
 /// Place of a process, from 0; a node's next process has another one.
@@ -64,11 +65,11 @@
     }
 
     /// Gives its decisions an event, at a time when it is free.
-    pub fn take(&mut self, now: Micros, event: Event, truth: Truth<'_>) -> Vec<Action> {
+    pub fn take(&mut self, now: Micros, event: Event, truth: Truth<'_>) -> Result<Vec<Action>, WireError> {
         let mut actions = Vec::new();
         self.busy_until = now + EVENT_COST;
         self.cpu += EVENT_COST;
-        self.policy.on_event(CLOCK + now, event, truth, &mut actions);
-        actions
+        self.policy.on_event(CLOCK + now, event, truth, &mut actions)?;
+        Ok(actions)
     }
 }
--- a/lab/src/sim/run.rs
+++ b/lab/src/sim/run.rs
@@ -13,11 +13,12 @@
 use super::links::Links;
 use super::node::{Attempt, Held, Process, ProcessIx, CLOCK};
 use super::queue::Queue;
-use super::SimPlan;
+use super::{Played, SimPlan};
 use crate::outcome::{NodeReport, Outcome};
-use crate::policy::Truth;
+use crate::policy::{Starter, Truth};
 use crate::referee::{Referee, LOST_AFTER};
 use crate::terms;
+use crate::wire::{Recorder, WireError};
 use crate::world::{
     Answer, Client, Condition, Demand, Effect, Ending, Entry, Front, Job, JobId, Micros, NodeId, NodeOrder,
     Phase, ServerIx, Verdict, World,
@@ -55,6 +56,11 @@
 /// A play under way.
 pub struct Run<'a> {
     plan: &'a SimPlan,
+    starter: Starter,
+    names: Vec<String>,
+    recorder: Option<Recorder>,
+    /// What ended the play early.
+    failed: Option<WireError>,
     settings: Settings,
     world: World,
     referee: Referee,
@@ -86,13 +92,18 @@
 }
 
 impl<'a> Run<'a> {
-    pub fn new(plan: &'a SimPlan) -> Run<'a> {
+    pub fn new(plan: &'a SimPlan) -> Result<Run<'a>, WireError> {
         let scenario = &plan.scenario;
         let world = World::new(scenario, plan.seed, plan.nodes, plan.servers);
         let demand = Demand::new(scenario, plan.seed, world.capacity(), plan.seconds);
         let notice = scenario.clients.front_notice_s;
         let notice = ((notice.low + notice.high) / 2.0 * 1e6) as Micros;
+        let names: Vec<String> = scenario.load.class.iter().map(|class| class.name.clone()).collect();
         let mut run = Run {
+            starter: Starter::new(&plan.policy, &names)?,
+            names,
+            recorder: None,
+            failed: None,
             settings: terms::settings(scenario, plan.nodes),
             referee: Referee::new(scenario, plan.nodes),
             front: Front::new(scenario.fleet.zones.len(), plan.nodes, notice),
@@ -116,10 +127,10 @@
             run.start(node);
             run.front.said(0, node, true);
         }
-        run
+        Ok(run)
     }
 
-    pub fn into_outcome(mut self) -> Outcome {
+    pub fn into_outcome(mut self) -> Result<Played, WireError> {
         let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let end = (self.plan.seconds * 1e6) as Micros + longest + 2 * LOST_AFTER;
         loop {
@@ -127,6 +138,9 @@
             let due = [asked, self.queue.next_at(), self.world.next_at()].into_iter().flatten().min();
             let Some(at) = due.filter(|&at| at <= end) else { break };
             self.now = self.now.max(at);
+            if let Some(error) = self.failed.take() {
+                return Err(error);
+            }
             if self.world.next_at().is_some_and(|next| next <= self.now) {
                 self.on_world(|world, now, out| world.advance(now, out));
             } else if asked.is_some_and(|asked| asked <= self.now) {
@@ -144,7 +158,10 @@
         let nodes = nodes.collect();
         let servers = self.world.servers().len();
         let (rate, faults) = (self.rate, Vec::new());
-        Outcome { referee: self.referee, nodes, lateness: None, rate, servers, crossed: 0, faults }
+        let stream = self.recorder.map(Recorder::into_text);
+        let outcome =
+            Outcome { referee: self.referee, nodes, lateness: None, rate, servers, crossed: 0, faults };
+        Ok(Played { outcome, stream })
     }
 
     fn arrive_client(&mut self) {
@@ -280,8 +297,18 @@
         let held = id.and_then(|id| self.processes[at].held.get(&id));
         let key = held.map(|held| self.clients[held.client].ask().key);
         let truth = Truth { world: &self.world, places: &self.places, now: self.now, key };
-        let actions = self.processes[at].take(self.now, event, truth);
-        actions.into_iter().for_each(|action| self.act(at, action));
+        let kept = (at == 0 && self.recorder.is_some()).then(|| event.clone());
+        let taken = self.processes[at].take(self.now, event, truth).and_then(|actions| {
+            if let (Some(event), Some(recorder)) = (kept, &mut self.recorder) {
+                recorder.record(CLOCK + self.now, &event, &actions)?;
+            }
+            Ok(actions)
+        });
+        match taken {
+            Ok(actions) => actions.into_iter().for_each(|action| self.act(at, action)),
+            // The play ends with it.
+            Err(error) => self.failed = self.failed.take().or(Some(error)),
+        }
     }
 
     fn act(&mut self, process: ProcessIx, action: Action) {
@@ -557,8 +584,11 @@
         let seed = self.plan.seed.wrapping_mul(0x9e37_79b9).wrapping_add((node as u64) << 8);
         let seed = seed + u64::from(self.starts[node]);
         let (revision, whole) = (self.world.registry().revision(node), self.world.registry().whole(node));
-        let policy = self.plan.policy.start(self.settings.clone(), seed);
         let process = self.processes.len();
+        let policy = self.starter.start(self.settings.clone(), seed, process);
+        if self.plan.record && process == 0 {
+            self.recorder = Some(Recorder::new(&self.settings, self.names.clone(), seed, CLOCK + self.now));
+        }
         self.processes.push(Process::new(node, policy, revision));
         self.serving[node] = Some(process);
         let members = self.members(&whole);
--- /dev/null
+++ b/lab/src/wire/mod.rs
@@ -0,0 +1,252 @@
+//! Owns the simulator's wire (WIRE) as the lab writes and reads it: events as lines of a batch, actions
+//! as lines of a reply, a program on the other end, and recorded streams that are played to one again.
+
+mod child;
+mod recorder;
+mod replay;
+
+use std::fmt::Write;
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use woodgap::{
+    Action, Event, Member, Outcome, RequestId, Semantics, ServerId, ServerState, Settings, SyncKind, TimerId,
+};
+
+use crate::world::Micros;
+
+pub use child::Child;
+pub use recorder::Recorder;
+pub use replay::{replay, Replayed};
+
+/// What went wrong on a wire.
+#[derive(Debug, thiserror::Error)]
+pub enum WireError {
+    /// The program could not be started, or its pipes broke.
+    #[error("{command}: {error}")]
+    Io {
+        /// Which program.
+        command: String,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// It ended, or closed its output, before its reply was whole.
+    #[error("{command}: it ended in the middle of the reply to batch {batch}")]
+    Ended {
+        /// Which program.
+        command: String,
+        /// The batch.
+        batch: u64,
+    },
+    /// A line that is none of the wire's.
+    #[error("line '{0}' is no line of a reply")]
+    Line(String),
+    /// An event that the wire has no word for.
+    #[error("the wire has no word for {0}; record another scenario")]
+    NoWord(&'static str),
+    /// A recorded stream that can't be read.
+    #[error("{file}:{line}: {what}")]
+    Stream {
+        /// Which file.
+        file: String,
+        /// Its line.
+        line: usize,
+        /// What was expected.
+        what: &'static str,
+    },
+}
+
+fn text(id: &RequestId) -> String {
+    String::from_utf8_lossy(&id.0).into_owned()
+}
+
+/// The settings as the pairs of a `SPAWN` line; `names` are those of the classes.
+pub fn settings_line(settings: &Settings, names: &[String]) -> String {
+    let s = settings;
+    let mut line = format!(
+        "group-size={} over-share-worth={} worth-by=work weight-source=rough registry-mode=push \
+         domain.warm-keys={} bounds.cancelling={} bounds.may-probe={} bounds.second-copies={} \
+         bounds.max-attempts={} bounds.retry-after={} bounds.max-retry-after={} bounds.dial-timeout={} \
+         deductions.handshake={} deductions.connection={} rules.start-capacity={} rules.ramp-time={} \
+         rules.fall-multiple={} rules.ask-within={} classes.count={}",
+        s.group_size,
+        s.over_share_worth,
+        s.warm_keys,
+        s.cancelling,
+        s.may_probe,
+        s.second_copies,
+        s.max_attempts,
+        s.retry_after,
+        s.max_retry_after,
+        s.dial_timeout,
+        s.handshake_price,
+        s.connection_price,
+        s.start_capacity,
+        s.ramp_time,
+        s.fall_multiple,
+        s.ask_within,
+        s.classes.len(),
+    );
+    for (i, (class, name)) in s.classes.iter().zip(names).enumerate() {
+        let semantics = if class.semantics == Semantics::Safe { "safe" } else { "unsafe" };
+        let _ = write!(
+            line,
+            " classes.{i}.name={name} classes.{i}.aim={} classes.{i}.deadline={} classes.{i}.points={} \
+             classes.{i}.late-share={} classes.{i}.semantics={semantics}",
+            class.aim, class.deadline, class.points, class.late_share
+        );
+    }
+    line
+}
+
+fn outcome(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Ok => "ok",
+        Outcome::Error => "error",
+        Outcome::Full => "full",
+        Outcome::Timeout => "timeout",
+        Outcome::ConnectFailed => "connect_failed",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::Moot => "moot",
+    }
+}
+
+fn pool(members: &[Member], out: &mut String) {
+    let _ = writeln!(out, "POOL 0 {}", members.len());
+    for m in members {
+        let state = match m.state {
+            ServerState::InService => "in_service",
+            ServerState::Terminating => "terminating",
+            ServerState::Terminated => "terminated",
+        };
+        let (zone, kind) = (m.zone.0, m.kind.0);
+        let _ = writeln!(out, "M {} z{zone} k{kind} {} {state} {} {}", m.server.0, m.cell.0, m.size, m.since);
+    }
+}
+
+/// The lines of an event; `names` are those of the classes.
+pub fn event_lines(event: &Event, names: &[String], out: &mut String) -> Result<(), WireError> {
+    let done = match event {
+        Event::Sync { kind, members } => {
+            let how = match kind {
+                SyncKind::Delta => 'D',
+                SyncKind::Full => 'F',
+                SyncKind::Cached => 'C',
+                SyncKind::Failed => 'X',
+            };
+            pool(members, out);
+            writeln!(out, "SYNC 1 {how} 0")
+        }
+        Event::Request(r) => {
+            let class = names.get(r.class.0).map_or("-", String::as_str);
+            let cost = r.cost.map_or("-".into(), |cost| cost.to_string());
+            let key = r.key.map_or("-".into(), |key| key.0.to_string());
+            let repeat = u8::from(r.repeat);
+            writeln!(out, "QUERY {} 0 {} {class} {cost} {repeat} - {key}", text(&r.id), r.patience)
+        }
+        Event::Closed(c) => {
+            let (reason, done) = (outcome(c.outcome), u8::from(c.done));
+            let (id, attempt, server, spent) = (text(&c.id), c.attempt, c.server.0, c.spent);
+            writeln!(out, "CLOSED_ATTEMPT {id} {attempt} {server} {reason} {spent} {done} -")
+        }
+        Event::Lapsed(id) => writeln!(out, "LAPSED {}", text(id)),
+        Event::Probed { server, outcome: end, spent, .. } => {
+            writeln!(out, "STATUS_BACK {} {} {spent} -", server.0, outcome(*end))
+        }
+        Event::Timer(timer) => writeln!(out, "TIMEOUT_FIRED {}", timer.0),
+        Event::Whole { .. } => return Err(WireError::NoWord("a body that comes in pieces")),
+        Event::Maintenance { .. } => return Err(WireError::NoWord("a server taken out by operators")),
+        Event::Started { .. } => return Err(WireError::NoWord("a streamed answer")),
+        Event::Peer { .. } => return Err(WireError::NoWord("a message between nodes")),
+    };
+    done.map_err(|_| WireError::Line("an event".into()))
+}
+
+/// The line of an action.
+pub fn action_line(action: &Action) -> String {
+    match action {
+        Action::Send { id, server, limit } => format!("DELIVER {} {} {limit}", text(id), server.0),
+        Action::Cancel { id, attempt } => format!("CALL_OFF {} {attempt}", text(id)),
+        Action::Refuse { id, retry_after } => format!("DECLINE {} {retry_after}", text(id)),
+        Action::Fail { id } => format!("GIVE_UP {}", text(id)),
+        Action::Probe(server) => format!("INSPECT {}", server.0),
+        Action::CloseIdle(server) => format!("FREE_LINKS {}", server.0),
+        Action::SetTimer { delay, timer } => format!("SET_ALARM {delay} {}", timer.0),
+        Action::Subscribe => "STREAM_CHANGES 1".into(),
+        Action::Tell { peer, data } => {
+            let data = if data.is_empty() { "-".into() } else { STANDARD.encode(data) };
+            format!("SAY {} {data}", peer.map_or(-1, i64::from))
+        }
+        Action::Log(line) => format!("REMARK {}", line.replace('\n', " ")),
+    }
+}
+
+/// The action of a line.
+pub fn action(line: &str) -> Result<Action, WireError> {
+    let wrong = || WireError::Line(line.to_owned());
+    let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+    let mut parts = rest.split(' ');
+    let mut part = || parts.next().ok_or_else(wrong);
+    let id = |text: &str| text.as_bytes().try_into().map(RequestId).map_err(|_| wrong());
+    fn number<T: std::str::FromStr>(text: &str, line: &str) -> Result<T, WireError> {
+        text.parse().map_err(|_| WireError::Line(line.to_owned()))
+    }
+    let time = |text: &str| -> Result<Micros, WireError> { Ok(number::<i64>(text, line)?.max(0) as Micros) };
+    Ok(match word {
+        "DELIVER" => Action::Send {
+            id: id(part()?)?,
+            server: ServerId(number(part()?, line)?),
+            limit: part().map_or(Ok(0), time)?,
+        },
+        "CALL_OFF" => Action::Cancel { id: id(part()?)?, attempt: number(part()?, line)? },
+        "DECLINE" => Action::Refuse { id: id(part()?)?, retry_after: part().map_or(Ok(0), time)? },
+        "GIVE_UP" => Action::Fail { id: id(part()?)? },
+        "INSPECT" => Action::Probe(ServerId(number(part()?, line)?)),
+        "FREE_LINKS" => Action::CloseIdle(ServerId(number(part()?, line)?)),
+        "SET_ALARM" => Action::SetTimer { delay: time(part()?)?, timer: TimerId(number(part()?, line)?) },
+        // Nodes share nothing, and the list comes unasked.
+        "STREAM_CHANGES" | "REFRESH" => Action::Subscribe,
+        "SAY" => Action::Tell { peer: None, data: Vec::new() },
+        "REMARK" => Action::Log(rest.to_owned()),
+        _ => return Err(wrong()),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scenario::Scenario;
+    use woodgap::settings::{parse, Pairs};
+
+    #[test]
+    fn the_settings_are_read_back_as_they_were() {
+        let scenario = Scenario::find("big-bodies").unwrap();
+        let settings = crate::terms::settings(&scenario, 7);
+        let names: Vec<String> = scenario.load.class.iter().map(|class| class.name.clone()).collect();
+        let line = settings_line(&settings, &names);
+        let (read, read_names) = parse(&Pairs::from_line(&line).unwrap()).unwrap();
+        assert_eq!(format!("{read:?}"), format!("{settings:?}"));
+        assert_eq!(read_names.classes(), names);
+    }
+
+    #[test]
+    fn actions_are_read_back_as_they_were_and_others_are_told() {
+        let id = RequestId([b'7'; 36]);
+        for written in [
+            Action::Send { id, server: ServerId(9), limit: 3 },
+            Action::Cancel { id, attempt: 2 },
+            Action::Refuse { id, retry_after: 5 },
+            Action::Fail { id },
+            Action::Probe(ServerId(1)),
+            Action::CloseIdle(ServerId(2)),
+            Action::SetTimer { delay: 4, timer: TimerId(6) },
+            Action::Log("two words".into()),
+        ] {
+            assert_eq!(action(&action_line(&written)).unwrap(), written);
+        }
+        for line in ["DELIVER short 1 2", "GIVE_UP", "NONSENSE", "SET_ALARM x 1"] {
+            assert!(action(line).unwrap_err().to_string().contains(line));
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/wire/recorder.rs
@@ -0,0 +1,52 @@
+//! Owns the recording of one node's stream: what it was told and what it did, batch and reply by turns,
+//! in the words of the wire, so that any program of the wire can be held against it.
+
+use std::fmt::Write;
+
+use woodgap::{Action, Event, Settings};
+
+use super::{action_line, event_lines, settings_line, WireError};
+
+/// The stream of one instance.
+#[derive(Debug, Default)]
+pub struct Recorder {
+    names: Vec<String>,
+    text: String,
+    batch: u64,
+}
+
+impl Recorder {
+    /// A stream that begins with the start of an instance.
+    pub fn new(settings: &Settings, names: Vec<String>, seed: u64, now: u64) -> Recorder {
+        let mut recorder = Recorder { names, text: String::new(), batch: 0 };
+        let spawn = format!("SPAWN {seed} {}\n", settings_line(settings, &recorder.names));
+        recorder.add(now, &spawn, &[]);
+        recorder
+    }
+
+    fn add(&mut self, now: u64, lines: &str, actions: &[Action]) {
+        self.batch += 1;
+        let batch = self.batch;
+        let _ = write!(self.text, "BEGIN_BATCH {now} {batch}\nCONTEXT 0\n{lines}EOF_BATCH\n");
+        if !actions.is_empty() {
+            self.text.push_str("ON_BEHALF 0\n");
+        }
+        actions.iter().for_each(|action| {
+            let _ = writeln!(self.text, "{}", action_line(action));
+        });
+        let _ = writeln!(self.text, "END {batch}");
+    }
+
+    /// Adds an event and what was done on it.
+    pub fn record(&mut self, now: u64, event: &Event, actions: &[Action]) -> Result<(), WireError> {
+        let mut lines = String::new();
+        event_lines(event, &self.names, &mut lines)?;
+        self.add(now, &lines, actions);
+        Ok(())
+    }
+
+    /// The stream.
+    pub fn into_text(self) -> String {
+        self.text
+    }
+}
