Lab: a trace of one request, key, server or node in virtual time

Cause: a play's table says that a request failed and not why.

Measured: a trace shows a request from its try over its attempts to its answer, and the tally is the same with and without it (test).

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -5,6 +5,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use woodgap_lab::policy::PolicyKind;
+use woodgap_lab::sim::Follow;
 
 /// A world for woodgap nodes to run in: servers, clients, fronts and discovery on loopback, and a
 /// referee that follows every request to its one final answer.
@@ -119,6 +120,12 @@
     /// the simulator's wire, such as an older build's woodgap-simhost
     #[arg(long, value_name = "P", default_value = "node")]
     pub policy: PolicyKind,
+    /// Write what happened to this file, a line each
+    #[arg(long, value_name = "FILE")]
+    pub trace: Option<PathBuf>,
+    /// What the trace follows: request:NUMBER, key:NUMBER, server:ID, node:NUMBER or all
+    #[arg(long, value_name = "WHAT", default_value = "all", requires = "trace")]
+    pub follow: Follow,
     /// Write the first node's stream of events and actions to this file, for `replay`
     #[arg(long, value_name = "FILE")]
     pub events: Option<PathBuf>,
--- a/lab/src/experiment/grid.rs
+++ b/lab/src/experiment/grid.rs
@@ -111,6 +111,7 @@
                                 seconds: form.seconds.unwrap_or(scenario.run.seconds.0),
                                 policy: policy.clone(),
                                 record: false,
+                                follow: None,
                                 scenario: scenario.clone(),
                             };
                             cells.push(Cell { scenario: name.clone(), variant: variant.name.clone(), plan });
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -116,6 +116,7 @@
         seconds: sim.seconds.unwrap_or(scenario.run.seconds.0),
         policy: sim.policy.clone(),
         record: sim.events.is_some(),
+        follow: sim.trace.as_ref().map(|_| sim.follow.clone()),
         scenario,
     };
     let play = Play {
@@ -130,6 +131,9 @@
     if let (Some(path), Some(stream)) = (&sim.events, &played.stream) {
         std::fs::write(path, stream).map_err(|e| format!("--events {}: {e}", path.display()))?;
     }
+    if let (Some(path), Some(trace)) = (&sim.trace, &played.trace) {
+        std::fs::write(path, trace).map_err(|e| format!("--trace {}: {e}", path.display()))?;
+    }
     conclude(&play, &played.outcome, sim.json.as_deref())
 }
 
--- a/lab/src/sim/mod.rs
+++ b/lab/src/sim/mod.rs
@@ -10,12 +10,15 @@
 mod node;
 mod queue;
 mod run;
+mod trace;
 
 use crate::outcome::Outcome;
 use crate::policy::PolicyKind;
 use crate::scenario::Scenario;
 use crate::wire::WireError;
 
+pub use trace::Follow;
+
 /// What is to be played.
 #[derive(Clone, Debug)]
 pub struct SimPlan {
@@ -33,6 +36,8 @@
     pub policy: PolicyKind,
     /// Whether the stream of the first node's first process is kept.
     pub record: bool,
+    /// What is traced, if anything.
+    pub follow: Option<Follow>,
 }
 
 /// Plays a plan to its end.
@@ -47,6 +52,10 @@
     pub outcome: Outcome,
     /// The stream of the first node's first process, if it was to be kept (see [`crate::wire`]).
     pub stream: Option<String>,
+    /// The trace, if there was to be one.
+    pub trace: Option<String>,
+    /// For each second, the requests that each server held.
+    pub held: Vec<Vec<usize>>,
 }
 
 #[cfg(test)]
@@ -56,7 +65,7 @@
 
     fn plan(scenario: &str, policy: PolicyKind, seconds: f64) -> SimPlan {
         let scenario = Scenario::find(scenario).unwrap();
-        SimPlan { scenario, seed: 4, nodes: 4, servers: 9, seconds, policy, record: false }
+        SimPlan { scenario, seed: 4, nodes: 4, servers: 9, seconds, policy, record: false, follow: None }
     }
 
     fn bytes(plan: &SimPlan) -> String {
@@ -76,6 +85,20 @@
         }
     }
 
+    #[test]
+    fn a_trace_follows_one_request_from_its_try_to_its_answer_and_changes_nothing() {
+        let bare = plan("bad-servers", PolicyKind::Node, 6.0);
+        let traced = SimPlan { follow: Some("request:40".parse().unwrap()), ..bare.clone() };
+        let played = play(&traced).unwrap();
+        let trace = played.trace.unwrap();
+        assert!(trace.lines().all(|line| line.contains("  request 40  ")), "{trace}");
+        for word in ["try 0", "send", "takes it", "answer Served"] {
+            assert!(trace.contains(word), "{word}: {trace}");
+        }
+        let tally = format!("{:?}", played.outcome.referee.tally());
+        assert_eq!(tally, format!("{:?}", play(&bare).unwrap().outcome.referee.tally()));
+    }
+
     #[test]
     fn every_policy_ends_every_request_and_keeps_the_rules_on_resends() {
         for policy in PolicyKind::ALL {
--- /dev/null
+++ b/lab/src/sim/run/effects.rs
@@ -0,0 +1,175 @@
+//! Owns what the world brings about: finished jobs, broken connections, news of the list, and what is
+//! done to nodes.
+
+use super::*;
+
+impl Run<'_> {
+    pub(super) fn carry_out(&mut self, effect: Effect) {
+        match &effect {
+            Effect::Done { .. } => {}
+            Effect::Down(at) | Effect::Up(at) | Effect::Silent(at, _) | Effect::Hand(at, _) => {
+                self.note_of(Some(*at), None, || format!("{effect:?}"));
+            }
+            Effect::Toppled { server, .. } => self.note_of(Some(*server), None, || format!("{effect:?}")),
+            Effect::Told(node) | Effect::Node(node, _) => {
+                self.note_of(None, Some(*node), || format!("{effect:?}"))
+            }
+        }
+        match effect {
+            Effect::Done { job, ending, .. } => self.finish(job, ending),
+            Effect::Down(at) => self.reset(at),
+            Effect::Silent(at, false) => self.reset(at),
+            Effect::Up(_) | Effect::Silent(_, true) => {}
+            Effect::Toppled { server, told } => {
+                let id = self.world.servers()[server].id.clone();
+                self.referee.toppled(&id, told, self.now);
+            }
+            Effect::Told(node) => self.tell(node),
+            Effect::Node(node, order) => self.order(node, order),
+            Effect::Hand(at, out) => {
+                let (server, id) = (number_of(&self.world, at), self.world.servers()[at].id.clone());
+                for node in 0..self.plan.nodes {
+                    let Some(process) = self.serving[node] else { continue };
+                    match out {
+                        true => self.referee.left_out(node, &id, self.now, Some(self.now)),
+                        false => self.referee.put_back(node, &id),
+                    }
+                    self.deliver(process, Event::Maintenance { server, out });
+                }
+            }
+        }
+    }
+
+    pub(super) fn finish(&mut self, job: JobId, ending: Ending) {
+        let Some((process, id, number)) = self.jobs.remove(&job) else { return };
+        let Some(attempt) = self.attempt(process, id, number).copied() else { return };
+        let node = self.processes[process].node;
+        let served = ending == Ending::Served;
+        if let Some(told) = attempt.number {
+            let txn = self.processes[process].held[&id].txn.clone();
+            self.referee.ended(&txn, told, served, false);
+        }
+        let way = self.world.delay(node, attempt.server);
+        let end = if served { End::Ok } else { End::Error };
+        self.queue.push(self.now + way, Due::Ended(process, id, number, end));
+    }
+
+    /// All connections of a server break.
+    pub(super) fn reset(&mut self, at: ServerIx) {
+        let idle = self.links.reset(at);
+        (0..idle).for_each(|_| self.world.disconnect(at));
+        for (process, state) in self.processes.iter().enumerate() {
+            for (id, held) in &state.held {
+                for (number, attempt) in held.attempts.iter().enumerate() {
+                    if attempt.is_some_and(|attempt| attempt.server == at) {
+                        self.queue.push(self.now, Due::Ended(process, *id, number, End::Reset));
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn tell(&mut self, node: NodeId) {
+        let registry = self.world.registry();
+        let newest = registry.revision(node);
+        let versions: Vec<ProcessIx> = (0..self.processes.len())
+            .filter(|&p| self.processes[p].node == node && self.processes[p].alive)
+            .collect();
+        for process in versions {
+            let changed =
+                self.world.registry().since(node, self.processes[process].revision).unwrap_or_default();
+            self.processes[process].revision = newest;
+            for entry in &changed {
+                self.referee.told(node, &entry.id, entry.phase, self.now);
+            }
+            let members = self.members(&changed);
+            self.deliver(process, Event::Sync { kind: SyncKind::Delta, members });
+        }
+    }
+
+    pub(super) fn members(&mut self, entries: &[Entry]) -> Vec<Member> {
+        for (at, server) in self.world.servers().iter().enumerate() {
+            self.places.insert(number(&server.id), at);
+        }
+        let fleet = &self.plan.scenario.fleet;
+        let place =
+            |names: Vec<&String>, name: &String| names.iter().position(|n| *n == name).unwrap_or(0) as u32;
+        let member = |entry: &Entry| Member {
+            server: number(&entry.id),
+            zone: ZoneId(place(fleet.zones.iter().collect(), &entry.zone)),
+            kind: KindId(place(fleet.kind.iter().map(|kind| &kind.name).collect(), &entry.kind)),
+            cell: CellId(entry.cell as u64),
+            state: match entry.phase {
+                Phase::InService => ServerState::InService,
+                Phase::Terminating => ServerState::Terminating,
+                Phase::Terminated => ServerState::Terminated,
+            },
+            size: entry.size,
+            since: entry.since.map_or(0, |at| CLOCK + at),
+        };
+        entries.iter().map(member).collect()
+    }
+
+    pub(super) fn start(&mut self, node: NodeId) {
+        self.starts[node] += 1;
+        self.referee.lives(node);
+        let seed = self.plan.seed.wrapping_mul(0x9e37_79b9).wrapping_add((node as u64) << 8);
+        let seed = seed + u64::from(self.starts[node]);
+        let (revision, whole) = (self.world.registry().revision(node), self.world.registry().whole(node));
+        let process = self.processes.len();
+        let policy = self.starter.start(self.settings.clone(), seed, process);
+        if self.plan.record && process == 0 {
+            self.recorder = Some(Recorder::new(&self.settings, self.names.clone(), seed, CLOCK + self.now));
+        }
+        self.processes.push(Process::new(node, policy, revision));
+        self.serving[node] = Some(process);
+        let members = self.members(&whole);
+        self.deliver(process, Event::Sync { kind: SyncKind::Cached, members });
+    }
+
+    pub(super) fn order(&mut self, node: NodeId, order: NodeOrder) {
+        match order {
+            NodeOrder::Kill => {
+                self.serving[node] = None;
+                self.front.silent(self.now, node);
+                self.referee.died(node, self.now);
+                let of_node = |p: &ProcessIx| self.processes[*p].node == node && self.processes[*p].alive;
+                let killed: Vec<ProcessIx> = (0..self.processes.len()).filter(of_node).collect();
+                killed.into_iter().for_each(|process| self.kill(process));
+            }
+            // What the process has, it finishes; what comes while the front does not know yet, it takes.
+            NodeOrder::Stop => {
+                self.front.said(self.now, node, false);
+                let process = self.serving[node];
+                process.into_iter().for_each(|p| self.queue.push(self.now + STILL_TAKES, Due::Retire(p)));
+            }
+            NodeOrder::Start => {
+                self.start(node);
+                self.queue.push(self.now + READY, Due::Ready(node));
+            }
+            NodeOrder::Upgrade => self.start(node),
+            NodeOrder::Standby(on) => self.front.said(self.now, node, !on),
+            NodeOrder::MoveDiscovery => {}
+        }
+    }
+
+    pub(super) fn kill(&mut self, at: ProcessIx) {
+        self.processes[at].alive = false;
+        for (_, held) in std::mem::take(&mut self.processes[at].held) {
+            for attempt in held.attempts.into_iter().flatten() {
+                if attempt.linked {
+                    self.world.disconnect(attempt.server);
+                }
+                if let Some(job) = attempt.job {
+                    self.jobs.remove(&job);
+                    self.on_world(|world, now, out| world.cancel(now, attempt.server, job, out));
+                }
+            }
+            if !held.answered {
+                let ask = self.clients[held.client].ask().clone();
+                let answer = self.referee.closed(&held.txn, &ask, false, self.now);
+                self.next_try(held.client, answer);
+            }
+        }
+    }
+}
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod demand;
 pub mod front;
+mod machine;
 pub mod registry;
 pub mod server;
 pub mod timeline;
--- a/lab/src/world/server.rs
+++ b/lab/src/world/server.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
+use super::machine::Machine;
 use super::registry::{Entry, Phase};
 use super::{Micros, SECOND};
 use crate::scenario::Fleet;
@@ -69,35 +70,6 @@
     Down,
 }
 
-/// The true values of a machine.
-#[derive(Clone, Copy, Debug)]
-struct Machine {
-    cores: f64,
-    speed: f64,
-    slots: usize,
-    queue: usize,
-    crowding: f64,
-    crowded_at: f64,
-    cold_from: f64,
-    cold_for: Micros,
-    pause_every: Micros,
-    pause: Micros,
-    error_rate: f64,
-    key_gain: f64,
-    key_memory: Micros,
-    keys: usize,
-    connections: usize,
-    handshake: f64,
-    full_tax: f64,
-    probe: f64,
-    jam_at: f64,
-    jam_after: Micros,
-    jam_slower: f64,
-    jam_rest: Micros,
-    jam_below: f64,
-    jam_most: Micros,
-}
-
 /// One server.
 #[derive(Debug)]
 pub struct Server {
@@ -166,34 +138,7 @@
         rng: &mut Pcg64,
     ) -> Server {
         let form = &fleet.kind[kind];
-        let cores = form.cores.max(1) as f64;
-        let micros = |seconds: f64| (seconds * 1e6) as Micros;
-        let machine = Machine {
-            cores,
-            speed: form.speed.draw(rng).max(0.01),
-            slots: ((form.slots_per_core.draw(rng) * cores) as usize).max(1),
-            queue: (form.queue_per_core.draw(rng) * cores) as usize,
-            crowding: form.crowding.draw(rng),
-            crowded_at: form.crowded_at.draw(rng),
-            cold_from: form.cold_from.draw(rng).clamp(0.01, 1.0),
-            cold_for: micros(form.cold_s.draw(rng)).max(1),
-            pause_every: micros(form.pause_every_s.draw(rng)).max(SECOND),
-            pause: micros(form.pause_ms.draw(rng) / 1e3),
-            error_rate: form.error_rate.draw(rng),
-            key_gain: fleet.key_gain.draw(rng).min(0.95),
-            key_memory: micros(fleet.key_memory_s.draw(rng)),
-            keys: (fleet.keys_per_core.draw(rng) * cores) as usize,
-            connections: (fleet.connections_per_core.draw(rng) * cores) as usize,
-            handshake: fleet.handshake_ms.draw(rng) * 1e3,
-            full_tax: fleet.full_table_tax.draw(rng).min(0.9),
-            probe: fleet.probe_ms.draw(rng) * 1e3,
-            jam_at: fleet.jam.held_per_core.draw(rng),
-            jam_after: micros(fleet.jam.after_s.draw(rng)),
-            jam_slower: fleet.jam.slower.draw(rng).max(1.0),
-            jam_rest: micros(fleet.jam.rest_s.draw(rng)),
-            jam_below: fleet.jam.rest_below.draw(rng),
-            jam_most: micros(fleet.jam.most_s.draw(rng)),
-        };
+        let machine = Machine::draw(fleet, form, rng);
         let zone = zone.unwrap_or(at % fleet.zones.len());
         let mut own = Pcg64::seed_from_u64(rng.random());
         let next_pause = (machine.pause_every as f64 * own.random::<f64>()) as Micros;
@@ -209,7 +154,7 @@
             kind_name: form.name.clone(),
             zone_name: fleet.zones[zone].clone(),
             // The registered size tells the cores and is a little off.
-            size: (cores * (0.9 + 0.2 * rng.random::<f64>()) * 100.0).round() / 100.0,
+            size: (machine.cores * (0.9 + 0.2 * rng.random::<f64>()) * 100.0).round() / 100.0,
             machine,
             rng: own,
             jobs: HashMap::new(),
--- a/lab/tests/wire.rs
+++ b/lab/tests/wire.rs
@@ -9,7 +9,16 @@
     let message = |command: &str| {
         let scenario = Scenario::find("quiet").unwrap();
         let policy: PolicyKind = format!("wire:{command}").parse().unwrap();
-        let plan = SimPlan { scenario, seed: 1, nodes: 1, servers: 3, seconds: 1.0, policy, record: false };
+        let plan = SimPlan {
+            scenario,
+            seed: 1,
+            nodes: 1,
+            servers: 3,
+            seconds: 1.0,
+            policy,
+            record: false,
+            follow: None,
+        };
         play(&plan).unwrap_err().to_string()
     };
     assert!(message("exit 3").contains("exit 3: it ended in the middle of the reply to batch 1"));
