Lab: one HTML file about an experiment, with plots and the command for its worst play

Cause: a table of comparisons doesn't show when and where a policy loses.

Change: report DIR writes a page without outside references (plotters, SVG): worth and refusals over time with the troubles marked, latency, requests held by each server, fleet size against worth, differences with their intervals, the worst play and its command. A play is exact, so what it shows is played again.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -38,6 +38,8 @@
     ///
     /// Exit status: 0 when all actions are identical, 1 at the first that is not, 2 otherwise.
     Replay(Replay),
+    /// Write one HTML file about an experiment's results, with plots and without outside references
+    Report(Report),
     /// List the scenarios that ship, a line each
     Scenarios,
 }
@@ -71,6 +73,17 @@
     pub node: Option<PathBuf>,
 }
 
+/// The options of `report`.
+#[derive(Args, Debug)]
+pub struct Report {
+    /// The folder of an experiment
+    #[arg(default_value = "found/experiment")]
+    pub folder: PathBuf,
+    /// Where to write it [default: report.html in the folder]
+    #[arg(long, value_name = "FILE")]
+    pub out: Option<PathBuf>,
+}
+
 /// The options of `replay`.
 #[derive(Args, Debug)]
 pub struct Replay {
--- a/lab/src/experiment/grid.rs
+++ b/lab/src/experiment/grid.rs
@@ -67,6 +67,23 @@
         format!("{} {variant} {}x{} {}s", self.scenario, plan.nodes, plan.servers, plan.seconds)
     }
 
+    /// The command that plays it again.
+    pub fn command(&self) -> String {
+        let plan = &self.plan;
+        let (scenario, policy) = (&self.scenario, plan.policy.name());
+        let policy = shlex::try_quote(&policy).map_or_else(|_| policy.clone(), std::borrow::Cow::into_owned);
+        let command = format!(
+            "woodgap-lab sim {scenario} --seed {} --nodes {} --servers {} --seconds {} --policy {policy}",
+            plan.seed, plan.nodes, plan.servers, plan.seconds
+        );
+        match self.variant.as_str() {
+            "" => command,
+            variant => {
+                format!("{command}  # with the fields of variant {variant} set in a copy of the scenario")
+            }
+        }
+    }
+
     /// How it is played.
     pub fn plan(&self) -> SimPlan {
         self.plan.clone()
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -17,12 +17,14 @@
 use woodgap_lab::sim::{self, SimPlan};
 use woodgap_lab::wire::{self, Child};
 
-use cli::{Cli, Command, Experiment, Replay, Sim, Up};
+use cli::{Cli, Command, Experiment, Replay, Report, Sim, Up};
 
 /// A rule was broken or a node crashed.
 const BROKEN: u8 = 1;
 /// Nothing could be played.
 const USELESS: u8 = 2;
+/// The file of an experiment, in the folder of its results.
+const GRID: &str = "experiment.toml";
 /// Ended by a signal, as a shell would say for SIGINT.
 const STOPPED: u8 = 130;
 
@@ -36,6 +38,7 @@
         Command::Sim(sim) => simulate(&sim),
         Command::Replay(stream) => replay(&stream),
         Command::Experiment(experiment) => experiment_with(&experiment),
+        Command::Report(of) => report_on(&of),
         Command::Scenarios => scenarios(),
     };
     done.unwrap_or_else(|error| {
@@ -166,6 +169,9 @@
     let text = std::fs::read_to_string(&experiment.file).map_err(|error| format!("{file}: {error}"))?;
     let grid = Grid::read(&file, &text)?;
     let store = Store::open(&experiment.out, experiment.resume, |word| eprintln!("woodgap-lab: {word}"))?;
+    // Kept beside the results, so that a report knows the grid.
+    let kept = experiment.out.join(GRID);
+    std::fs::write(&kept, &text).map_err(|error| format!("{}: {error}", kept.display()))?;
     let rows = experiment::run(&grid, store, experiment.jobs)?;
     let comparisons = experiment::compare(&rows);
     stdout().lock().write_all(experiment::text(&rows, &comparisons).as_bytes())?;
@@ -173,6 +179,23 @@
     Ok(if kept { ExitCode::SUCCESS } else { ExitCode::from(BROKEN) })
 }
 
+fn report_on(of: &Report) -> Result<ExitCode, Box<dyn Error>> {
+    let kept = of.folder.join(GRID);
+    let text = std::fs::read_to_string(&kept)
+        .map_err(|error| format!("{}: {error}; is this the folder of an experiment?", kept.display()))?;
+    let grid = Grid::read(&kept.display().to_string(), &text)?;
+    let store = Store::open(&of.folder, true, |word| eprintln!("woodgap-lab: {word}"))?;
+    let rows: Vec<_> = grid.cells().iter().filter_map(|cell| store.get(&cell.key()).cloned()).collect();
+    if rows.is_empty() {
+        return Err(format!("{}: no results yet", store.path().display()).into());
+    }
+    let page = report::html(&of.folder.display().to_string(), &grid, &rows)?;
+    let path = of.out.clone().unwrap_or_else(|| of.folder.join("report.html"));
+    std::fs::write(&path, page).map_err(|error| format!("{}: {error}", path.display()))?;
+    writeln!(stdout().lock(), "{} of {} plays: {}", rows.len(), grid.cells().len(), path.display())?;
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Better told now than after the play that the file can't be written.
 fn open_json(path: Option<&Path>) -> Result<(), String> {
     let opened =
--- a/lab/src/referee/mod.rs
+++ b/lab/src/referee/mod.rs
@@ -11,7 +11,7 @@
 use crate::world::{Answer, Ask, Micros, NodeId, Phase};
 
 pub use rules::{Breach, Rule};
-pub use tally::{latencies, ClassTally, Tally};
+pub use tally::{latencies, ClassTally, Second, Tally};
 
 /// New work to a server that drains, is gone or withheld may continue for this long (BRIEF 7.1), and
 /// on sockets for 50 ms more (PROTOCOL).
--- a/lab/src/referee/tally.rs
+++ b/lab/src/referee/tally.rs
@@ -81,13 +81,31 @@
     }
 }
 
+/// The requests that were due in one second.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Second {
+    /// Worth asked for.
+    pub asked: f64,
+    /// Worth served.
+    pub served: f64,
+    /// Tries refused.
+    pub refused: u64,
+}
+
+impl Second {
+    /// Share of the worth that was served; 1 where nothing was asked.
+    pub fn share(&self) -> f64 {
+        share(self.served, self.asked)
+    }
+}
+
 /// All figures.
 #[derive(Clone, Debug)]
 pub struct Tally {
     /// By class.
     pub classes: Vec<ClassTally>,
-    /// Worth asked for and served, by the second in which the request was due.
-    pub seconds: Vec<(f64, f64)>,
+    /// By the second in which the request was due.
+    pub seconds: Vec<Second>,
     /// Tries that nodes took.
     pub tries: u64,
     /// Attempts that reached a server whole.
@@ -139,16 +157,17 @@
     /// The lowest share served over ten seconds, and the second in which they begin.
     pub fn worst_ten(&self) -> Option<(usize, f64)> {
         let sums = self.seconds.windows(10).map(|window| {
-            let (asked, served) = window.iter().fold((0.0, 0.0), |sum, s| (sum.0 + s.0, sum.1 + s.1));
+            let (asked, served) =
+                window.iter().fold((0.0, 0.0), |sum, s| (sum.0 + s.asked, sum.1 + s.served));
             share(served, asked)
         });
         sums.enumerate().min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
-    fn second(&mut self, at: Micros) -> &mut (f64, f64) {
+    fn second(&mut self, at: Micros) -> &mut Second {
         let second = (at / SECOND) as usize;
         if second >= self.seconds.len() {
-            self.seconds.resize(second + 1, (0.0, 0.0));
+            self.seconds.resize(second + 1, Second::default());
         }
         &mut self.seconds[second]
     }
@@ -158,7 +177,7 @@
         let worth = ask.work as f64 * class.terms.worth;
         class.asked += 1;
         class.worth_asked += worth;
-        self.second(ask.at).0 += worth;
+        self.second(ask.at).asked += worth;
     }
 
     /// An answer at `at`; after the client's whole time it earns nothing.
@@ -177,11 +196,12 @@
         };
         let worth = ask.work as f64 * class.terms.worth * part;
         class.worth_served += worth;
-        self.second(ask.at).1 += worth;
+        self.second(ask.at).served += worth;
     }
 
     pub(super) fn refused(&mut self, ask: &Ask) {
         self.classes[ask.class].refused += 1;
+        self.second(ask.at).refused += 1;
     }
 
     pub(super) fn failed(&mut self, ask: &Ask) {
--- a/lab/src/report/json.rs
+++ b/lab/src/report/json.rs
@@ -102,11 +102,7 @@
         lab_late_ms: outcome.lateness.map(|late| late.map(ms)),
         classes: classes.collect(),
         nodes: nodes.collect(),
-        by_second: tally
-            .seconds
-            .iter()
-            .map(|(asked, served)| served / asked.max(f64::MIN_POSITIVE))
-            .collect(),
+        by_second: tally.seconds.iter().map(crate::referee::Second::share).collect(),
     };
     let mut text = serde_json::to_vec_pretty(&report)?;
     text.push(b'\n');
--- a/lab/src/report/mod.rs
+++ b/lab/src/report/mod.rs
@@ -1,10 +1,13 @@
 //! Owns what a reader sees of a play: the live line, the table, the JSON file. It reads outcomes and
 //! changes nothing.
 
+mod html;
 mod json;
 mod live;
+mod plots;
 mod table;
 
+pub use html::html;
 pub use json::write as write_json;
 pub use live::Live;
 pub use table::text;
--- a/lab/src/scenario/model.rs
+++ b/lab/src/scenario/model.rs
@@ -469,6 +469,19 @@
 }
 
 impl TroubleKind {
+    /// Its name in files.
+    pub fn name(self) -> String {
+        // The names in files are those of the variants, in kebab case.
+        let mut name = String::new();
+        for c in format!("{self:?}").chars() {
+            if c.is_uppercase() && !name.is_empty() {
+                name.push('-');
+            }
+            name.extend(c.to_lowercase());
+        }
+        name
+    }
+
     /// The fields it needs besides `at_s`.
     pub fn needs(self) -> &'static [&'static str] {
         use TroubleKind::*;
--- a/lab/src/world/server.rs
+++ b/lab/src/world/server.rs
@@ -10,7 +10,7 @@
 
 use super::machine::Machine;
 use super::registry::{Entry, Phase};
-use super::{Micros, SECOND};
+use super::Micros;
 use crate::scenario::Fleet;
 
 /// How often a capacity that changes all the time (a cold start) is looked at.
