Lab: the node by turns against a bare forwarder; criterion benches of the decisions

Cause: what the node costs over plain forwarding, and its decisions alone, was known by no figure of our own.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,93 @@
+//! What the decisions cost: the table's build, and a request with its answer and the sweep, at several
+//! sizes. Figures for people; nothing is judged here.
+
+use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
+use woodgap::brain::build_table;
+use woodgap::*;
+
+fn member(server: u32) -> Member {
+    let (zone, kind, cell) = (ZoneId(server % 2), KindId(server % 3), CellId(u64::from(server / 8)));
+    Member { server: ServerId(server), zone, kind, cell, state: ServerState::InService, size: 1.0, since: 0 }
+}
+
+fn balancer(servers: u32) -> Balancer {
+    let class = Class {
+        aim: 500_000,
+        deadline: 2_000_000,
+        points: 1.0,
+        late_share: 0.2,
+        semantics: Semantics::Safe,
+        in_order: false,
+    };
+    let settings = Settings {
+        classes: vec![class],
+        warm_keys: true,
+        max_attempts: 3,
+        ramp_time: 10_000_000,
+        ..Settings::default()
+    };
+    let mut balancer = Balancer::new(settings, 1);
+    let members = (0..servers).map(member).collect();
+    balancer.on_event(1_000_000, Event::Sync { kind: SyncKind::Cached, members }, &mut Vec::new());
+    balancer
+}
+
+fn request(n: u64) -> Request {
+    let mut id = [b'0'; 36];
+    id[..20].copy_from_slice(format!("{n:020}").as_bytes());
+    Request {
+        id: RequestId(id),
+        patience: 1_000_000,
+        class: ClassId(0),
+        cost: Some(40_000),
+        repeat: false,
+        tenant: None,
+        key: Some(Key(n.wrapping_mul(0x9e37_79b9) >> 11)),
+        coming: false,
+    }
+}
+
+fn table(c: &mut Criterion) {
+    let mut group = c.benchmark_group("table");
+    for servers in [10_u32, 60, 200, 1_000] {
+        let list: Vec<(ServerId, f64)> = (0..servers).map(|server| (ServerId(server), 1.0)).collect();
+        group.bench_with_input(BenchmarkId::from_parameter(servers), &list, |b, list| {
+            b.iter(|| build_table(list));
+        });
+    }
+}
+
+fn events(c: &mut Criterion) {
+    for servers in [10, 60, 200] {
+        let (mut now, mut n) = (2_000_000, 0);
+        let mut node = balancer(servers);
+        let mut out = Vec::new();
+        c.bench_function(&format!("request and answer/{servers}"), |b| {
+            b.iter(|| {
+                (now, n) = (now + 1_000, n + 1);
+                out.clear();
+                let request = request(n);
+                let id = request.id;
+                node.on_event(now, Event::Request(request), &mut out);
+                let server = out.iter().find_map(|action| match action {
+                    Action::Send { server, .. } => Some(*server),
+                    _ => None,
+                });
+                let Some(server) = server else { return };
+                let (attempt, outcome, spent) = (0, Outcome::Ok, 50_000);
+                let closed = Closed { id, attempt, server, outcome, spent, done: true, load: Vec::new() };
+                node.on_event(now, Event::Closed(closed), &mut out);
+            });
+        });
+        c.bench_function(&format!("sweep/{servers}"), |b| {
+            b.iter_batched_ref(
+                || balancer(servers),
+                |node| node.on_event(3_000_000, Event::Timer(TimerId(1)), &mut Vec::new()),
+                BatchSize::SmallInput,
+            );
+        });
+    }
+}
+
+criterion_group!(benches, table, events);
+criterion_main!(benches);
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -40,6 +40,8 @@
     Replay(Replay),
     /// Write one HTML file about an experiment's results, with plots and without outside references
     Report(Report),
+    /// Hold the node against a bare forwarder on the same sockets, by turns
+    Bench(Bench),
     /// List the scenarios that ship, a line each
     Scenarios,
 }
@@ -73,6 +75,27 @@
     pub node: Option<PathBuf>,
 }
 
+/// The options of `bench`.
+#[derive(Args, Debug)]
+pub struct Bench {
+    /// Pairs of turns
+    #[arg(long, value_name = "N", default_value_t = 5, value_parser = clap::value_parser!(u32).range(1..=100))]
+    pub rounds: u32,
+    /// Seconds of a turn
+    #[arg(long, value_name = "S", default_value_t = 5.0)]
+    pub seconds: f64,
+    /// Hold the node against this program, rather than the lab's bare forwarder
+    #[arg(long, value_name = "PATH")]
+    pub against: Option<PathBuf>,
+}
+
+impl Bench {
+    /// What the types of the options can't show.
+    pub fn check(&self) -> Result<(), String> {
+        within("--seconds", Some(self.seconds), 1.0, 3600.0)
+    }
+}
+
 /// The options of `report`.
 #[derive(Args, Debug)]
 pub struct Report {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod bench;
 pub mod experiment;
 pub mod host;
 pub mod outcome;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -9,6 +9,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use woodgap_lab::bench;
 use woodgap_lab::experiment::{self, Grid, Store};
 use woodgap_lab::host::{self, Deploy, HostError, Plan};
 use woodgap_lab::outcome::Outcome;
@@ -17,7 +18,7 @@
 use woodgap_lab::sim::{self, SimPlan};
 use woodgap_lab::wire::{self, Child};
 
-use cli::{Cli, Command, Experiment, Replay, Report, Sim, Up};
+use cli::{Bench, Cli, Command, Experiment, Replay, Report, Sim, Up};
 
 /// A rule was broken or a node crashed.
 const BROKEN: u8 = 1;
@@ -39,6 +40,7 @@
         Command::Replay(stream) => replay(&stream),
         Command::Experiment(experiment) => experiment_with(&experiment),
         Command::Report(of) => report_on(&of),
+        Command::Bench(bench) => compare_with(&bench),
         Command::Scenarios => scenarios(),
     };
     done.unwrap_or_else(|error| {
@@ -196,6 +198,34 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn compare_with(of: &Bench) -> Result<ExitCode, Box<dyn Error>> {
+    of.check()?;
+    let deploy = Deploy::find(&std::env::current_dir()?)?;
+    deploy.build()?;
+    let against = match &of.against {
+        Some(program) => std::path::absolute(program)?,
+        None => std::env::current_exe()?.with_file_name("bare-forwarder"),
+    };
+    if !against.is_file() {
+        let program = against.display();
+        return Err(format!(
+            "{program}: no such program; build it with cargo build --release -p woodgap-lab"
+        )
+        .into());
+    }
+    let against = against.to_string_lossy();
+    let other = format!("exec {}", shlex::try_quote(&against)?);
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let bar = indicatif::ProgressBar::new(of.rounds.into());
+    let commands = [deploy.run.as_str(), other.as_str()];
+    let told = |round: usize| bar.set_position(round as u64);
+    let pairs = runtime.block_on(bench::run(commands, &deploy.root, of.rounds as usize, of.seconds, told))?;
+    bar.finish_and_clear();
+    let names = ["node", if of.against.is_some() { "other" } else { "forwarder" }];
+    stdout().lock().write_all(bench::text(names, &pairs).as_bytes())?;
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Better told now than after the play that the file can't be written.
 fn open_json(path: Option<&Path>) -> Result<(), String> {
     let opened =
--- a/lab/src/world/registry.rs
+++ b/lab/src/world/registry.rs
@@ -74,6 +74,7 @@
     /// For each node the list as its agent has it.
     views: Vec<BTreeMap<String, Entry>>,
     away: bool,
+    next: Option<Micros>,
 }
 
 impl Registry {
@@ -92,6 +93,7 @@
             reached: vec![1; nodes],
             views: vec![BTreeMap::new(); nodes],
             away: false,
+            next: None,
         }
     }
 
@@ -129,6 +131,7 @@
         // What was noticed later of the same server stands for what is still on its way.
         self.pending.retain(|(_, other)| other.id != entry.id || other.phase == Phase::Terminating);
         self.pending.push((at, entry));
+        self.find_next();
     }
 
     pub(super) fn set_away(&mut self, now: Micros, away: bool) {
@@ -139,6 +142,7 @@
                 way.iter_mut().for_each(|(at, _)| *at = (*at).max(now));
             }
         }
+        self.find_next();
     }
 
     /// Whether the service and its agents say nothing.
@@ -147,16 +151,18 @@
     }
 
     pub(super) fn next_at(&self) -> Option<Micros> {
-        if self.away {
-            return None;
-        }
+        self.next.filter(|_| !self.away)
+    }
+
+    /// Hosts ask for the next time at each event: it is looked for only when something has changed.
+    fn find_next(&mut self) {
         let version = self.pending.iter().map(|(at, _)| (*at).max(self.next_version)).min();
         let way = self.on_way.iter().flatten().map(|(at, _)| *at).min();
-        [version, way].into_iter().flatten().min()
+        self.next = [version, way].into_iter().flatten().min();
     }
 
     pub(super) fn advance(&mut self, now: Micros, mut told: impl FnMut(NodeId)) {
-        if self.away {
+        if self.next_at().is_none_or(|next| next > now) {
             return;
         }
         if now >= self.next_version && self.pending.iter().any(|(at, _)| *at <= now) {
@@ -188,6 +194,7 @@
                 told(node);
             }
         }
+        self.find_next();
     }
 
     /// The newest version that a node's agent has.
