--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -17,6 +17,7 @@
     let mut input = child.stdin.take().expect("piped");
     let mut output = BufReader::new(child.stdout.take().expect("piped")).lines();
     let (mut in_batch, mut actions) = (false, 0);
+    let mut differs = None;
     for (number, line) in text.lines().enumerate() {
         in_batch |= line.starts_with("BEGIN_BATCH");
         if in_batch {
@@ -26,13 +27,21 @@
         }
         let came = output.next().expect("answers").expect("in text");
         if came != line {
-            return Err(format!("{name}:{}: recorded '{line}', now '{came}'", number + 1));
+            differs = Some(format!("{name}:{}: recorded '{line}', now '{came}'", number + 1));
+            break;
         }
         actions += usize::from(!line.starts_with("ON_BEHALF") && !line.starts_with("END"));
     }
-    drop(input);
-    assert!(child.wait().expect("ends").success());
-    Ok(actions)
+    // Both ends are closed before it is waited for: it may be writing still.
+    drop((input, output));
+    let status = child.wait().expect("ends");
+    match differs {
+        Some(differs) => Err(differs),
+        None => {
+            assert!(status.success());
+            Ok(actions)
+        }
+    }
 }
 
 #[test]
