--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -46,19 +46,19 @@
     Scenarios,
 }
 
-/// The options of `up`.
+/// What is played, how large and how long.
 #[derive(Args, Debug)]
-pub struct Up {
+pub struct Day {
     /// A scenario that ships, or the path of a scenario file
     #[arg(default_value = "quiet")]
     pub scenario: String,
-    /// Nodes, 1 to 100 [default: the scenario's]
+    /// Nodes; up to 100 on sockets, 1000 in virtual time [default: the scenario's]
     #[arg(long, value_name = "N")]
     pub nodes: Option<usize>,
-    /// Servers at the start, 1 to 250 [default: the scenario's]
+    /// Servers at the start; up to 250 on sockets, 1000 in virtual time [default: the scenario's]
     #[arg(long, value_name = "N")]
     pub servers: Option<usize>,
-    /// Seconds of load, 1 to 3600 [default: the scenario's]
+    /// Seconds of load; up to 3600 on sockets, 86400 in virtual time [default: the scenario's]
     #[arg(long, value_name = "S")]
     pub seconds: Option<f64>,
     /// Seed of the world: true speeds, delays, requests, and who is struck by troubles
@@ -67,6 +67,22 @@
     /// Write the figures to this file, too
     #[arg(long, value_name = "FILE")]
     pub json: Option<PathBuf>,
+}
+
+impl Day {
+    /// What the types of the options can't show, with the most nodes, servers and seconds.
+    fn check(&self, (nodes, servers, seconds): (usize, usize, f64)) -> Result<(), String> {
+        within("--nodes", self.nodes, 1, nodes)?;
+        within("--servers", self.servers, 1, servers)?;
+        within("--seconds", self.seconds, 1.0, seconds)
+    }
+}
+
+/// The options of `up`.
+#[derive(Args, Debug)]
+pub struct Up {
+    #[command(flatten)]
+    pub day: Day,
     /// Keep the nodes' logs in this folder
     #[arg(long, value_name = "DIR")]
     pub logs: Option<PathBuf>,
@@ -136,21 +152,8 @@
 /// The options of `sim`.
 #[derive(Args, Debug)]
 pub struct Sim {
-    /// A scenario that ships, or the path of a scenario file
-    #[arg(default_value = "quiet")]
-    pub scenario: String,
-    /// Nodes, 1 to 1000 [default: the scenario's]
-    #[arg(long, value_name = "N")]
-    pub nodes: Option<usize>,
-    /// Servers at the start, 1 to 1000 [default: the scenario's]
-    #[arg(long, value_name = "N")]
-    pub servers: Option<usize>,
-    /// Seconds of load, 1 to 86400 [default: the scenario's]
-    #[arg(long, value_name = "S")]
-    pub seconds: Option<f64>,
-    /// Seed of the world: true speeds, delays, requests, and who is struck by troubles
-    #[arg(long, value_name = "N", default_value_t = 1)]
-    pub seed: u64,
+    #[command(flatten)]
+    pub day: Day,
     /// What decides in each node: node (the module), random, round-robin, two-choices,
     /// least-outstanding, ring-bounded, maglev-plain, oracle, or wire:COMMAND, a program that speaks
     /// the simulator's wire, such as an older build's woodgap-simhost
@@ -165,17 +168,12 @@
     /// Write the first node's stream of events and actions to this file, for `replay`
     #[arg(long, value_name = "FILE")]
     pub events: Option<PathBuf>,
-    /// Write the figures to this file, too
-    #[arg(long, value_name = "FILE")]
-    pub json: Option<PathBuf>,
 }
 
 impl Sim {
     /// What the types of the options can't show.
     pub fn check(&self) -> Result<(), String> {
-        within("--nodes", self.nodes, 1, 1000)?;
-        within("--servers", self.servers, 1, 1000)?;
-        within("--seconds", self.seconds, 1.0, 86_400.0)
+        self.day.check((1000, 1000, 86_400.0))
     }
 }
 
@@ -194,8 +192,6 @@
 impl Up {
     /// What the types of the options can't show.
     pub fn check(&self) -> Result<(), String> {
-        within("--nodes", self.nodes, 1, 100)?;
-        within("--servers", self.servers, 1, 250)?;
-        within("--seconds", self.seconds, 1.0, 3600.0)
+        self.day.check((100, 250, 3600.0))
     }
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -59,11 +59,11 @@
 }
 
 fn play(up: &Up) -> Result<ExitCode, Box<dyn Error>> {
-    let mut scenario = Scenario::find(&up.scenario)?;
+    let mut scenario = Scenario::find(&up.day.scenario)?;
     up.check()?;
     let run = &mut scenario.run;
-    run.nodes = up.nodes.unwrap_or(run.nodes);
-    run.servers = up.servers.unwrap_or(run.servers);
+    run.nodes = up.day.nodes.unwrap_or(run.nodes);
+    run.servers = up.day.servers.unwrap_or(run.servers);
     let here = std::env::current_dir()?;
     let (command, root) = match &up.node {
         Some(program) => {
@@ -84,14 +84,14 @@
     if let Some(logs) = &up.logs {
         std::fs::create_dir_all(logs).map_err(|e| format!("--logs {}: {e}", logs.display()))?;
     }
-    open_json(up.json.as_deref())?;
+    open_json(up.day.json.as_deref())?;
     let play = Play {
-        scenario: up.scenario.clone(),
+        scenario: up.day.scenario.clone(),
         policy: None,
-        seed: up.seed,
+        seed: up.day.seed,
         nodes: scenario.run.nodes,
         servers: scenario.run.servers,
-        seconds: up.seconds.unwrap_or(scenario.run.seconds.0),
+        seconds: up.day.seconds.unwrap_or(scenario.run.seconds.0),
     };
     let plan = Plan {
         seed: play.seed,
@@ -107,25 +107,25 @@
     let mut live = Live::new(play.seconds);
     let outcome = runtime.block_on(host::play(plan, |stage| live.show(stage)));
     live.finish();
-    conclude(&play, &outcome?, up.json.as_deref())
+    conclude(&play, &outcome?, up.day.json.as_deref())
 }
 
 fn simulate(sim: &Sim) -> Result<ExitCode, Box<dyn Error>> {
-    let scenario = Scenario::find(&sim.scenario)?;
+    let scenario = Scenario::find(&sim.day.scenario)?;
     sim.check()?;
-    open_json(sim.json.as_deref())?;
+    open_json(sim.day.json.as_deref())?;
     let plan = SimPlan {
-        seed: sim.seed,
-        nodes: sim.nodes.unwrap_or(scenario.run.nodes),
-        servers: sim.servers.unwrap_or(scenario.run.servers),
-        seconds: sim.seconds.unwrap_or(scenario.run.seconds.0),
+        seed: sim.day.seed,
+        nodes: sim.day.nodes.unwrap_or(scenario.run.nodes),
+        servers: sim.day.servers.unwrap_or(scenario.run.servers),
+        seconds: sim.day.seconds.unwrap_or(scenario.run.seconds.0),
         policy: sim.policy.clone(),
         record: sim.events.is_some(),
         follow: sim.trace.as_ref().map(|_| sim.follow.clone()),
         scenario,
     };
     let play = Play {
-        scenario: sim.scenario.clone(),
+        scenario: sim.day.scenario.clone(),
         policy: Some(sim.policy.name()),
         seed: plan.seed,
         nodes: plan.nodes,
@@ -139,7 +139,7 @@
     if let (Some(path), Some(trace)) = (&sim.trace, &played.trace) {
         std::fs::write(path, trace).map_err(|e| format!("--trace {}: {e}", path.display()))?;
     }
-    conclude(&play, &played.outcome, sim.json.as_deref())
+    conclude(&play, &played.outcome, sim.day.json.as_deref())
 }
 
 fn replay(replay: &Replay) -> Result<ExitCode, Box<dyn Error>> {
