--- a/lab/src/policy/choose.rs
+++ b/lab/src/policy/choose.rs
@@ -71,12 +71,18 @@
     }
 }
 
-#[derive(Default)]
 pub struct RoundRobin(usize);
 
+impl RoundRobin {
+    /// Each node begins at a place of its own: in step they would all meet at one server.
+    pub fn new(seed: u64) -> RoundRobin {
+        RoundRobin(hash(seed, 0) as usize >> 1)
+    }
+}
+
 impl Choose for RoundRobin {
     fn choose(&mut self, view: View<'_>) -> Option<ServerId> {
-        self.0 += 1;
+        self.0 = self.0.wrapping_add(1);
         (!view.ready.is_empty()).then(|| view.ready[self.0 % view.ready.len()])
     }
 }
--- a/lab/src/policy/mod.rs
+++ b/lab/src/policy/mod.rs
@@ -1,5 +1,5 @@
 //! Owns the policies that the virtual-time host can put inside a node: the decision module itself and
-//! the lab's baselines. A policy sees a node's events and answers with actions; only [`oracle`] looks at
+//! the lab's baselines. A policy sees a node's events and answers with actions; only the oracle looks at
 //! the world's true state.
 
 mod baseline;
@@ -141,7 +141,7 @@
         }
         let choose: Box<dyn Choose> = match self.kind {
             PolicyKind::Random => Box::new(Random::new(seed)),
-            PolicyKind::RoundRobin => Box::<RoundRobin>::default(),
+            PolicyKind::RoundRobin => Box::new(RoundRobin::new(seed)),
             PolicyKind::TwoChoices => Box::new(TwoChoices::new(seed)),
             PolicyKind::LeastOutstanding => Box::new(LeastOutstanding),
             PolicyKind::RingBounded => Box::<RingBounded>::default(),
