Lab: one place for the front, process seeds and class names; the watch looks once

Cause: on re-reading, both hosts made the front, the seed of a process and the class names for themselves; an upgrade began with a finished task put in place of the real one; and a watch asked twice whether discovery is away, so that news taken between the two answers would be marked as told and never written.

Change: Front::of, process_seed and Scenario::class_names serve both hosts; a process that takes over is given its question at its start; a watch reads the state and the news in one look.

--- a/lab/src/host/clients.rs
+++ b/lab/src/host/clients.rs
@@ -10,7 +10,7 @@
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
@@ -158,7 +158,7 @@
             self.stage.referee(|referee| referee.unreachable());
             return Answer::Unreachable;
         };
-        let again = self.link_for_again(&ask, rng);
+        let again = Pcg64::seed_from_u64(rng.random());
         let (tx, rx) = oneshot::channel();
         // The try is followed beyond its time, as the referee has to see whether it is answered at all.
         tokio::spawn(async move {
@@ -171,12 +171,6 @@
         }
     }
 
-    /// The generator by which a connection is found again when the first one's close was crossed.
-    fn link_for_again(&self, ask: &Ask, rng: &mut Pcg64) -> Pcg64 {
-        use rand::RngExt;
-        Pcg64::seed_from_u64(rng.random::<u64>() ^ ask.serial)
-    }
-
     async fn follow(&self, mut link: Link, ask: &Ask, attempt: Try, mut rng: Pcg64) -> Answer {
         let stage = &self.stage;
         let txn = format!("{:012x}{:04x}", ask.serial, attempt.number);
--- a/lab/src/host/discovery.rs
+++ b/lab/src/host/discovery.rs
@@ -133,11 +133,8 @@
             let told = news.notified();
             tokio::pin!(told);
             told.as_mut().enable();
-            let away = self.stage.world(|world, _, _| world.registry().is_away());
-            let line = match self.changes(node, &mut revision) {
-                Some(line) if !away => format!("{line}\n"),
-                _ => "\n".to_owned(),
-            };
+            let (away, changes) = self.changes(node, &mut revision);
+            let line = changes.map_or("\n".to_owned(), |changes| format!("{changes}\n"));
             // While discovery is away its agents say nothing at all.
             if !away && tx.send(line.into()).await.is_err() {
                 return;
@@ -150,19 +147,20 @@
         }
     }
 
-    /// What changed after a revision, which moves on; `None` where nothing did.
-    fn changes(&self, node: NodeId, revision: &mut u64) -> Option<Value> {
-        let (newest, changed) = self.stage.world(|world, _, _| {
+    /// Whether discovery is away, and else what changed after a revision, which moves on. Both are of
+    /// one look: what is taken while it is away would never be said.
+    fn changes(&self, node: NodeId, revision: &mut u64) -> (bool, Option<Value>) {
+        let (away, newest, changed) = self.stage.world(|world, _, _| {
             let registry = world.registry();
-            (registry.revision(node), registry.since(node, *revision))
+            (registry.is_away(), registry.revision(node), registry.since(node, *revision))
         });
-        if newest == *revision || self.stage.world(|world, _, _| world.registry().is_away()) {
-            return None;
+        if away || newest == *revision {
+            return (away, None);
         }
         *revision = newest;
-        let Some(changed) = changed else { return Some(self.whole(node)) };
+        let Some(changed) = changed else { return (away, Some(self.whole(node))) };
         self.tell(node, &changed);
-        Some(self.list(node, newest, false, &changed))
+        (away, Some(self.list(node, newest, false, &changed)))
     }
 
     fn tell(&self, node: NodeId, entries: &[Entry]) {
--- a/lab/src/host/mod.rs
+++ b/lab/src/host/mod.rs
@@ -90,9 +90,7 @@
 pub async fn play(plan: Plan, mut live: impl FnMut(&Stage)) -> Result<Outcome, HostError> {
     let world = World::new(&plan.scenario, plan.seed, plan.nodes, plan.servers);
     let demand = Demand::new(&plan.scenario, plan.seed, world.capacity(), plan.seconds);
-    let notice = plan.scenario.clients.front_notice_s;
-    let notice = (notice.low + notice.high) / 2.0 * 1e6;
-    let front = Front::new(plan.scenario.fleet.zones.len(), plan.nodes, notice as Micros);
+    let front = Front::of(&plan.scenario, plan.nodes);
     let referee = Referee::new(&plan.scenario, plan.nodes);
     let (stage, orders) = Stage::new(world, referee, front, plan.nodes);
     let stage = Arc::new(stage);
@@ -150,7 +148,7 @@
     });
     let addresses = (0..plan.nodes).map(|node| fleet.listen(node)).collect();
     let zones = plan.scenario.fleet.zones.len();
-    let names = plan.scenario.load.class.iter().map(|class| class.name.clone()).collect();
+    let names = plan.scenario.class_names();
     let load = clients::Load::new(stage.clone(), addresses, names, zones, plan.scenario.run.sockets / 3);
     parts.spawn(load.clone().judge_drains());
     let longest = plan.scenario.load.class.iter().map(|class| class.deadline_ms.0).fold(0.0, f64::max);
--- a/lab/src/host/nodes.rs
+++ b/lab/src/host/nodes.rs
@@ -26,7 +26,7 @@
 use super::{HostError, Plan};
 use crate::outcome::NodeReport;
 use crate::scenario::Scenario;
-use crate::world::{NodeId, NodeOrder};
+use crate::world::{process_seed, NodeId, NodeOrder};
 
 /// How often processes are looked at.
 const LOOK: Duration = Duration::from_millis(50);
@@ -98,7 +98,7 @@
                 state,
             };
             fs::create_dir_all(&keeper.folder).map_err(|error| HostError::io(what("its folder"), error))?;
-            keeper.start(Role::Serving).map_err(|error| HostError::io(what("its process"), error))?;
+            keeper.start(false).map_err(|error| HostError::io(what("its process"), error))?;
             fleet.listens.push(listen);
             fleet.states.push(states);
             fleet.keepers.push(tokio::spawn(keeper.run(orders, stopped.clone())));
@@ -216,10 +216,10 @@
 
     /// Starts a process. One that takes over finds the folder of the one before it as it is; any other
     /// finds an empty one and the list that the node last had.
-    fn start(&mut self, role: Role) -> std::io::Result<()> {
+    fn start(&mut self, takes_over: bool) -> std::io::Result<()> {
         self.report.starts += 1;
         let tmp = self.folder.join("tmp");
-        if matches!(role, Role::Serving) {
+        if !takes_over {
             let _ = fs::remove_dir_all(&tmp);
         }
         fs::create_dir_all(&tmp)?;
@@ -247,14 +247,19 @@
             command.env("BALANCER_FD", INHERITED.to_string());
         }
         let child = command.spawn()?;
+        let role = match takes_over {
+            true => {
+                Role::Fresh { until: Instant::now() + YES_WITHIN, yes: tokio::spawn(until_yes(operator)) }
+            }
+            false => Role::Serving,
+        };
         self.processes.push(Running { child, operator, role });
         Ok(())
     }
 
     fn write_config(&self, operator: SocketAddr) -> std::io::Result<PathBuf> {
         let at = Addresses { listen: self.listen, discovery: self.agents.address(self.node), operator };
-        let seed = self.seed.wrapping_mul(0x9e37_79b9).wrapping_add((self.node as u64) << 8);
-        let seed = seed + u64::from(self.report.starts);
+        let seed = process_seed(self.seed, self.node, self.report.starts);
         let known = self.agents.whole(self.node);
         let text = config::write(&self.scenario, self.node, self.nodes, at, seed, &known);
         let file = self.folder.join("config.json");
@@ -277,13 +282,10 @@
             Order::Do(NodeOrder::Stop) => self.stop_serving(),
             Order::Do(NodeOrder::Start) => {
                 self.stage.referee(|referee| referee.lives(self.node));
-                self.try_start(Role::Serving);
+                self.try_start(false);
             }
             Order::Do(NodeOrder::Upgrade) => {
-                let yes = tokio::spawn(async {});
-                if self.try_start(Role::Fresh { until: Instant::now() + YES_WITHIN, yes }) {
-                    self.ask_fresh();
-                }
+                self.try_start(true);
             }
             Order::Do(NodeOrder::Standby(on)) => {
                 let path = if on { "/standby" } else { "/active" };
@@ -304,25 +306,10 @@
         }
     }
 
-    fn try_start(&mut self, role: Role) -> bool {
-        let started = self.start(role);
-        if let Err(error) = &started {
+    fn try_start(&mut self, takes_over: bool) {
+        if let Err(error) = self.start(takes_over) {
             self.fault(format!("not started: {error}"));
         }
-        started.is_ok()
-    }
-
-    /// Asks the process that is to take over until it says yes.
-    fn ask_fresh(&mut self) {
-        let Some(process) = self.processes.last_mut() else { return };
-        let operator = process.operator;
-        if let Role::Fresh { yes, .. } = &mut process.role {
-            *yes = tokio::spawn(async move {
-                while operator::call(operator, Method::GET, "/status").await != Some(true) {
-                    tokio::time::sleep(LOOK).await;
-                }
-            });
-        }
     }
 
     /// Makes an operators' call at the process that serves; `then` hears when it was made and when a
@@ -426,6 +413,13 @@
     }
 }
 
+/// Asks a process whether it is ready until it says yes.
+async fn until_yes(operator: SocketAddr) {
+    while operator::call(operator, Method::GET, "/status").await != Some(true) {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 fn send(child: &Child, signal: Signal) {
     // None once it was waited for: then there is nobody to hear it.
     if let Some(pid) = child.id() {
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -94,6 +94,11 @@
         Ok(scenario)
     }
 
+    /// The names of the classes, in their order.
+    pub fn class_names(&self) -> Vec<String> {
+        self.load.class.iter().map(|class| class.name.clone()).collect()
+    }
+
     /// What no single value can show.
     fn validate(&self, file: &str, text: &str) -> Result<(), ScenarioError> {
         let fault = |at: usize, key: &str, what: String, near| {
--- a/lab/src/sim/run/effects.rs
+++ b/lab/src/sim/run/effects.rs
@@ -113,8 +113,7 @@
     pub(super) fn start(&mut self, node: NodeId) {
         self.starts[node] += 1;
         self.referee.lives(node);
-        let seed = self.plan.seed.wrapping_mul(0x9e37_79b9).wrapping_add((node as u64) << 8);
-        let seed = seed + u64::from(self.starts[node]);
+        let seed = process_seed(self.plan.seed, node, self.starts[node]);
         let (revision, whole) = (self.world.registry().revision(node), self.world.registry().whole(node));
         let process = self.processes.len();
         let policy = self.starter.start(self.settings.clone(), seed, process);
--- a/lab/src/sim/run/mod.rs
+++ b/lab/src/sim/run/mod.rs
@@ -25,8 +25,8 @@
 use crate::terms;
 use crate::wire::{Recorder, WireError};
 use crate::world::{
-    Answer, Client, Condition, Demand, Effect, Ending, Entry, Front, Job, JobId, Micros, NodeId, NodeOrder,
-    Phase, ServerIx, Verdict, World, SECOND,
+    process_seed, Answer, Client, Condition, Demand, Effect, Ending, Entry, Front, Job, JobId, Micros,
+    NodeId, NodeOrder, Phase, ServerIx, Verdict, World, SECOND,
 };
 
 /// A node that has started is ready, and the front knows it, after this.
@@ -103,9 +103,7 @@
         let scenario = &plan.scenario;
         let world = World::new(scenario, plan.seed, plan.nodes, plan.servers);
         let demand = Demand::new(scenario, plan.seed, world.capacity(), plan.seconds);
-        let notice = scenario.clients.front_notice_s;
-        let notice = ((notice.low + notice.high) / 2.0 * 1e6) as Micros;
-        let names: Vec<String> = scenario.load.class.iter().map(|class| class.name.clone()).collect();
+        let names = scenario.class_names();
         let mut run = Run {
             starter: Starter::new(&plan.policy, &names)?,
             names,
@@ -115,7 +113,7 @@
             failed: None,
             settings: terms::settings(scenario, plan.nodes),
             referee: Referee::new(scenario, plan.nodes),
-            front: Front::new(scenario.fleet.zones.len(), plan.nodes, notice),
+            front: Front::of(scenario, plan.nodes),
             rng: Pcg64::seed_from_u64(plan.seed ^ 0x51a9),
             queue: Queue::new(),
             rate: demand.rate(),
--- a/lab/src/wire/mod.rs
+++ b/lab/src/wire/mod.rs
@@ -223,7 +223,7 @@
     fn the_settings_are_read_back_as_they_were() {
         let scenario = Scenario::find("big-bodies").unwrap();
         let settings = crate::terms::settings(&scenario, 7);
-        let names: Vec<String> = scenario.load.class.iter().map(|class| class.name.clone()).collect();
+        let names = scenario.class_names();
         let line = settings_line(&settings, &names);
         let (read, read_names) = parse(&Pairs::from_line(&line).unwrap()).unwrap();
         assert_eq!(format!("{read:?}"), format!("{settings:?}"));
--- a/lab/src/world/front.rs
+++ b/lab/src/world/front.rs
@@ -4,6 +4,7 @@
 use rand::{Rng, RngExt};
 
 use super::{Micros, NodeId};
+use crate::scenario::Scenario;
 
 /// New connections still come for this long after a node said that it is not ready (DAYS).
 const STILL_COMES: Micros = 200_000;
@@ -27,6 +28,13 @@
 }
 
 impl Front {
+    /// The fronts of a scenario: they notice a death after the middle of its span.
+    pub fn of(scenario: &Scenario, nodes: usize) -> Front {
+        let notice = scenario.clients.front_notice_s;
+        let notice = (notice.low + notice.high) / 2.0 * 1e6;
+        Front::new(scenario.fleet.zones.len(), nodes, notice as Micros)
+    }
+
     /// Fronts of so many zones and nodes that notice a death after `notice`.
     pub fn new(zones: usize, nodes: usize, notice: Micros) -> Front {
         Front { zones, beliefs: vec![Belief::New; nodes], notice }
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -351,6 +351,11 @@
     }
 }
 
+/// The seed that a node's process is told: another one at each of its starts.
+pub fn process_seed(seed: u64, node: NodeId, start: u32) -> u64 {
+    seed.wrapping_mul(0x9e37_79b9).wrapping_add((node as u64) << 8) + u64::from(start)
+}
+
 /// The kind of each of so many servers: by the shares, the kinds mixed over the zones.
 fn kinds_of(fleet: &Fleet, servers: usize) -> Vec<usize> {
     let total: f64 = fleet.kind.iter().map(|kind| kind.share.0).sum();
