Fleet: membership by SWIM with Lifeguard's parts, pure, and agents in virtual time

Need: the fleet's processes don't know of each other; nobody can say who runs, who died, who left on purpose and whether two halves hold different pictures (issue Agents and membership).

Change: workspace member fleet/ with the room membership/: foca drives SWIM, the room adds local health, suspicion by independent accusers, a word straight to the suspect, generations, records, digests, whole exchanges and the rule for two processes of one name. lab/src/plane/ plays many agents in virtual time. docs/fleet-plane.md has the design.

foca hands the suspicion timer to the accuser alone, and a stale one makes it tell a live member that it is down (seen as rejoins nobody had caused at 20 % loss): the room keeps its own suspicions at every member instead.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod experiment;
 pub mod host;
 pub mod outcome;
+pub mod plane;
 pub mod policy;
 pub mod referee;
 pub mod report;
