Fleet: woodgap-agent runs a node and takes part in membership

Need: membership needs a program beside each node (issue Agents and membership, points 1, 2, 5, 7): one that starts the node, holds the clients' socket, watches it, adopts it after its own death, and tells staff who is present.

Change: the room supervise/ (pure: start, back-off, ceiling a minute, hang, drain), config/ (TOML with units; every fault at once with line and nearest key), host/ (tokio: datagrams, calls, the node's process, pid file checked against the process' start and a mark in its environment, staff's address with /fleet, /status, /metrics) and the program with run, check, example, members, completions. lab/src/plane/real has agents as processes with proxies between them that lose, delay, double, reorder and cut by direction; lab/src/plane/measure the figures, as `woodgap-lab plane`.

--- /dev/null
+++ b/fleet/src/bin/woodgap-agent/cli.rs
@@ -0,0 +1,72 @@
+//! The command line of `woodgap-agent`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+
+/// Runs a woodgap node and knows the fleet it is part of.
+///
+/// One agent a machine. It starts the node, watches it and starts it again; it keeps in touch with the other agents
+/// and tells staff who is present, who has left, who failed, and who sees it otherwise. Clients' requests never
+/// pass it.
+///
+/// Exit codes: 0 yes or done; 1 the answer is no; 2 nothing could be done (arguments, configuration, no answer);
+/// 3 the name is held by an older process.
+#[derive(Debug, Parser)]
+#[command(version, max_term_width = 100)]
+pub struct Cli {
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Run the agent in the foreground; SIGTERM drains the node, tells the fleet, and ends it
+    ///
+    /// It logs to standard error; $WOODGAP_AGENT_LOG sets levels otherwise than the file (RUST_LOG's form).
+    Run(File),
+    /// Say whether a configuration is sound: every fault of it at once
+    Check(File),
+    /// Print a configuration with every key
+    Example,
+    /// Show the members as an agent sees them, and whether all see the same
+    ///
+    /// Exit code 1 where the views of some differ and stay so.
+    Members(Members),
+    /// Print a script that completes this command line in a shell
+    Completions(Completions),
+}
+
+#[derive(Debug, Args)]
+pub struct File {
+    /// The agent's configuration, in TOML
+    #[arg(long, short, value_name = "FILE")]
+    pub config: PathBuf,
+}
+
+#[derive(Debug, Args)]
+pub struct At {
+    /// The operators' address of an agent
+    #[arg(long, value_name = "ADDR")]
+    pub at: Option<SocketAddr>,
+    /// An agent's configuration, to take that address from
+    #[arg(long, short, value_name = "FILE", conflicts_with = "at")]
+    pub config: Option<PathBuf>,
+}
+
+#[derive(Debug, Args)]
+pub struct Members {
+    #[command(flatten)]
+    pub at: At,
+    /// Print all that the agent knows as JSON
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct Completions {
+    /// Which shell
+    #[arg(value_enum)]
+    pub shell: clap_complete::Shell,
+}
--- /dev/null
+++ b/fleet/src/config/mod.rs
@@ -0,0 +1,311 @@
+//! The agent's configuration: one TOML file, read whole or refused whole with every fault of it.
+
+mod reader;
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+
+use toml::de::DeTable;
+
+pub use reader::Fault;
+use reader::{Reader, Section};
+
+use crate::membership::{self, Name};
+use crate::supervise;
+
+/// A file with every key, for `woodgap-agent example`.
+pub const EXAMPLE: &str = include_str!("example.toml");
+
+/// A file that can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// It can't be read.
+    #[error("{path}: {source}")]
+    Unread {
+        /// Which.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// It is not sound.
+    #[error("{path}: {}", list(.faults))]
+    Unsound {
+        /// Which.
+        path: PathBuf,
+        /// All that is wrong.
+        faults: Vec<Fault>,
+    },
+}
+
+fn list(faults: &[Fault]) -> String {
+    let count = if faults.len() == 1 { "1 fault".to_owned() } else { format!("{} faults", faults.len()) };
+    let lines: String = faults.iter().map(|fault| format!("\n  {fault}")).collect();
+    format!("{count}{lines}")
+}
+
+/// How a log line looks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl FromStr for LogFormat {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<LogFormat, &'static str> {
+        match text {
+            "text" => Ok(LogFormat::Text),
+            "json" => Ok(LogFormat::Json),
+            _ => Err("must be text or json"),
+        }
+    }
+}
+
+/// The node that an agent runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// The program and its arguments.
+    pub command: Vec<String>,
+    /// The node's own configuration file.
+    pub config: PathBuf,
+    /// Where clients connect; the agent holds the socket.
+    pub listen: SocketAddr,
+    /// Where the node's operators call.
+    pub operators: SocketAddr,
+    /// When it is started and ended.
+    pub supervise: supervise::Settings,
+}
+
+/// All of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// The agent's name.
+    pub name: Name,
+    /// Its machine, for people.
+    pub machine: String,
+    /// Its zone.
+    pub zone: String,
+    /// What is kept lies here.
+    pub state_dir: PathBuf,
+    /// Where other agents' datagrams and calls come in.
+    pub listen: SocketAddr,
+    /// Where they are sent to.
+    pub advertise: SocketAddr,
+    /// Addresses to join by.
+    pub seeds: Vec<SocketAddr>,
+    /// Membership's windows, with the fleet's name.
+    pub membership: membership::Settings,
+    /// Where staff call.
+    pub operators: SocketAddr,
+    /// The node, if it runs one.
+    pub node: Option<Node>,
+    /// How log lines look.
+    pub log_format: LogFormat,
+    /// The least level that is logged.
+    pub log_level: tracing::Level,
+}
+
+impl Config {
+    /// Reads a file.
+    pub fn load(path: &Path) -> Result<Config, ConfigError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ConfigError::Unread { path: path.to_owned(), source })?;
+        Config::read(&text).map_err(|faults| ConfigError::Unsound { path: path.to_owned(), faults })
+    }
+
+    /// Reads a text; every fault where there are some.
+    pub fn read(text: &str) -> Result<Config, Vec<Fault>> {
+        let reader = Reader::new(text);
+        let config = match DeTable::parse(text) {
+            Ok(table) => read(&reader, table.get_ref()),
+            Err(error) => {
+                reader.fault(error.span().map(|span| span.start), "the file", error.message());
+                None
+            }
+        };
+        let faults = reader.into_faults();
+        config.filter(|_| faults.is_empty()).ok_or(faults)
+    }
+}
+
+/// `None` only where a fault was noted.
+fn read<'t>(reader: &Reader<'t>, table: &DeTable<'t>) -> Option<Config> {
+    let root = Section::root(reader, table);
+    let fleet: Option<String> = root.required("fleet", root.parsed("fleet"));
+    if fleet.as_ref().is_some_and(|fleet| fleet.is_empty() || fleet.len() > 64) {
+        root.wrong("fleet", None, "must be 1 to 64 bytes");
+    }
+    let name = root.required("name", root.parsed::<Name>("name"));
+    let machine = root.parsed("machine").unwrap_or_default();
+    let zone = root.parsed("zone").unwrap_or_default();
+    let state_dir: Option<String> = root.required("state-dir", root.parsed("state-dir"));
+    let plane = root.section("membership");
+    let (listen, advertise, seeds) = addresses(&plane);
+    let membership = windows(&plane, fleet.unwrap_or_default());
+    plane.finish();
+    let staff = root.section("operators");
+    let operators = staff.required("listen", staff.parsed("listen"));
+    staff.finish();
+    let own = root.section("node");
+    let node = if own.is_there() { Some(node(&own)) } else { None };
+    own.finish();
+    let log = root.section("log");
+    let log_format = log.parsed("format").unwrap_or(LogFormat::Text);
+    let log_level = log.parsed("level").unwrap_or(tracing::Level::INFO);
+    log.finish();
+    root.finish();
+    let node = match node {
+        Some(node) => Some(node?),
+        None => None,
+    };
+    Some(Config {
+        name: name?,
+        machine,
+        zone,
+        state_dir: PathBuf::from(state_dir?),
+        listen: listen?,
+        advertise: advertise?,
+        seeds,
+        membership,
+        operators: operators?,
+        node,
+        log_format,
+        log_level,
+    })
+}
+
+fn addresses(plane: &Section<'_, '_>) -> (Option<SocketAddr>, Option<SocketAddr>, Vec<SocketAddr>) {
+    let listen: Option<SocketAddr> = plane.required("listen", plane.parsed("listen"));
+    let said: Option<SocketAddr> = plane.parsed("advertise");
+    let advertise = said.or(listen);
+    if let Some(addr) = advertise {
+        let key = if said.is_some() { "advertise" } else { "listen" };
+        if addr.ip().is_unspecified() {
+            plane.wrong(key, None, format!("{}: others can't reach that: set advertise", addr.ip()));
+        }
+        if addr.port() == 0 {
+            plane.wrong(key, None, "port 0: others have to know it");
+        }
+    }
+    (listen, advertise, plane.list("seeds").unwrap_or_default())
+}
+
+fn windows(plane: &Section<'_, '_>, fleet: String) -> membership::Settings {
+    let usual = membership::Settings::default();
+    let settings = membership::Settings {
+        fleet,
+        probe_interval: plane.span("probe-interval").unwrap_or(usual.probe_interval),
+        probe_timeout: plane.span("probe-timeout").unwrap_or(usual.probe_timeout),
+        indirect_probes: plane.number("indirect-probes").unwrap_or(usual.indirect_probes),
+        suspicion_mult: plane.number("suspicion-mult").unwrap_or(usual.suspicion_mult),
+        suspicion_max_mult: plane.number("suspicion-max-mult").unwrap_or(usual.suspicion_max_mult),
+        suspicion_confirmations: usual.suspicion_confirmations,
+        retransmit_mult: usual.retransmit_mult,
+        gossip_interval: plane.span("gossip-interval").unwrap_or(usual.gossip_interval),
+        gossip_fanout: usual.gossip_fanout,
+        sync_interval: plane.span("sync-interval").unwrap_or(usual.sync_interval),
+        rejoin_interval: plane.span("rejoin-interval").unwrap_or(usual.rejoin_interval),
+        seed_interval: plane.span("seed-interval").unwrap_or(usual.seed_interval),
+        settle: plane.span("settle").unwrap_or(usual.settle),
+        hold: plane.span("hold").unwrap_or(usual.hold),
+        most_members: plane.number("most-members").unwrap_or(usual.most_members),
+        formats: membership::Formats {
+            newest: plane.number("format").unwrap_or(usual.formats.newest),
+            ..usual.formats
+        },
+    };
+    for fault in settings.faults() {
+        plane.wrong(fault.key, None, fault.reason);
+    }
+    settings
+}
+
+fn node(own: &Section<'_, '_>) -> Option<Node> {
+    let command: Option<Vec<String>> = own.required("command", own.list("command"));
+    if command.as_ref().is_some_and(|command| command.first().is_none_or(String::is_empty)) {
+        own.wrong("command", None, "names no program");
+    }
+    let config: Option<String> = own.required("config", own.parsed("config"));
+    let listen: Option<SocketAddr> = own.required("listen", own.parsed("listen"));
+    if listen.is_some_and(|addr| !matches!(addr.ip(), IpAddr::V4(_))) {
+        own.wrong("listen", None, "a node listens on IPv4");
+    }
+    let operators: Option<SocketAddr> = own.required("operators", own.parsed("operators"));
+    if operators.is_some_and(|addr| addr.port() == 0) {
+        own.wrong("operators", None, "port 0: the agent has to know it");
+    }
+    let usual = supervise::Settings::default();
+    let supervise = supervise::Settings {
+        backoff: own.span("backoff").unwrap_or(usual.backoff),
+        backoff_most: own.span("backoff-most").unwrap_or(usual.backoff_most),
+        starts_per_minute: own.number("starts-per-minute").unwrap_or(usual.starts_per_minute),
+        ready_within: own.span("ready-within").unwrap_or(usual.ready_within),
+        drain_within: own.span("drain-within").unwrap_or(usual.drain_within),
+        status_interval: own.span("status-interval").unwrap_or(usual.status_interval),
+        silent_limit: own.span("silent-limit").unwrap_or(usual.silent_limit),
+    };
+    if supervise.starts_per_minute == 0 {
+        own.wrong("starts-per-minute", None, "must be 1 or more");
+    }
+    if supervise.backoff.is_zero() || supervise.backoff > supervise.backoff_most {
+        own.wrong("backoff", None, "must be above 0 and not above backoff-most");
+    }
+    if supervise.status_interval < std::time::Duration::from_millis(10) {
+        own.wrong("status-interval", None, "must be 10ms or more");
+    }
+    Some(Node {
+        command: command?,
+        config: PathBuf::from(config?),
+        listen: listen?,
+        operators: operators?,
+        supervise,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_example_is_sound_and_its_defaults_are_the_real_ones() {
+        let config = Config::read(EXAMPLE).unwrap();
+        assert_eq!((config.name.as_str(), config.seeds.len()), ("n1", 2));
+        let shown: String = EXAMPLE
+            .lines()
+            .map(|line| line.strip_prefix("# ").filter(|l| l.contains(" = ")).unwrap_or(line))
+            .fold(String::new(), |mut all, line| {
+                all.push_str(line);
+                all.push('\n');
+                all
+            });
+        assert_eq!(Config::read(&shown).unwrap(), config, "what is commented out is what holds");
+    }
+
+    #[test]
+    fn every_fault_is_named_at_once_with_its_line_and_key() {
+        let text = EXAMPLE
+            .replace("name = \"n1\"", "name = \"n 1\"")
+            .replace("zone = ", "zonne = ")
+            .replace("# probe-timeout = \"400ms\"", "probe-timeout = \"900ms\"")
+            .replace("# backoff = \"200ms\"", "backoff = 5")
+            .replace("operators = \"127.0.0.1:5001\"", "");
+        let faults = Config::read(&text).unwrap_err();
+        let told: Vec<String> = faults.iter().map(Fault::to_string).collect();
+        let wanted = [
+            "line 4: name: 'n 1' is no name",
+            "line 6: zonne: no such key, did you mean 'zone'?",
+            "line 14: membership.probe-timeout: must be below half",
+            "line 30: node.operators: is missing",
+            "line 35: node.backoff: must be a text, is a integer",
+        ];
+        for want in wanted {
+            assert!(told.iter().any(|fault| fault.starts_with(want)), "{want}: {told:#?}");
+        }
+        assert_eq!(told.len(), wanted.len(), "{told:#?}");
+        assert!(Config::read("fleet = ").unwrap_err()[0].to_string().starts_with("line 1: the file:"));
+    }
+}
--- /dev/null
+++ b/fleet/src/host/mod.rs
@@ -0,0 +1,326 @@
+//! The agent on tokio: sockets, timers, the node's process, staff's address. It decides nothing: what happens is
+//! handed to the pure rooms, and what they want is carried out.
+
+mod clock;
+mod figures;
+pub mod http;
+mod node;
+mod operators;
+mod pidfile;
+mod tell;
+mod wire;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rand::random;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, oneshot};
+use tracing::{info, warn};
+
+use crate::config::Config;
+use crate::membership::{
+    self, CallId, ConnId, Membership, NodeState, Record, Report, Start, LONGEST_DATAGRAM,
+};
+use crate::supervise::{self, Supervisor};
+use crate::Micros;
+use clock::Clock;
+use node::NodeHost;
+
+/// Messages between the tasks, at most: what waits longer for the main task is turned away.
+const QUEUE: usize = 256;
+/// Datagrams and messages handled before timers are looked at again.
+const ROUND: usize = 256;
+
+/// Why an agent could not start or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum HostError {
+    /// An address can't be listened on.
+    #[error("{what} {addr}: {source}")]
+    Bind {
+        /// Which.
+        what: &'static str,
+        /// Where.
+        addr: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The folder for what is kept.
+    #[error("{path}: {source}")]
+    State {
+        /// Which file or folder.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// Another agent holds the folder.
+    #[error("{0}: another agent runs on this folder")]
+    Locked(PathBuf),
+    /// Signals can't be listened to.
+    #[error("signals: {0}")]
+    Signals(io::Error),
+}
+
+/// How an agent ended.
+#[derive(Debug)]
+pub enum Exit {
+    /// It was told to, and everyone was told.
+    Left,
+    /// An older process holds the name.
+    Refused(Box<Record>),
+}
+
+/// What the tasks tell the main one.
+enum Msg {
+    /// Another agent calls.
+    Called { bytes: Vec<u8>, answer: oneshot::Sender<Vec<u8>> },
+    /// A call came to its end.
+    CallEnded { call: CallId, answer: Option<Vec<u8>> },
+    /// The node.
+    Node(supervise::Event),
+    /// Staff ask for the fleet.
+    Report(oneshot::Sender<Box<Report>>),
+    /// Staff ask for the figures.
+    Figures(oneshot::Sender<String>),
+}
+
+struct Host {
+    config: Config,
+    clock: Clock,
+    core: Membership,
+    supervisor: Supervisor,
+    node: Option<NodeHost>,
+    node_state: NodeState,
+    udp: UdpSocket,
+    tx: mpsc::Sender<Msg>,
+    conns: BTreeMap<ConnId, oneshot::Sender<Vec<u8>>>,
+    conn_number: ConnId,
+    stopping: bool,
+    unsent: u64,
+    ended: Option<Exit>,
+}
+
+/// Runs an agent until it has left, or is refused its name.
+pub async fn run(config: Config) -> Result<Exit, HostError> {
+    let _lock = pidfile::lock(&config.state_dir)?;
+    let mut term = signal(SignalKind::terminate()).map_err(HostError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(HostError::Signals)?;
+    let bind = |what, addr| move |source| HostError::Bind { what, addr, source };
+    let udp = UdpSocket::bind(config.listen).await.map_err(bind("datagrams at", config.listen))?;
+    let calls = wire::listen(config.listen).map_err(bind("calls at", config.listen))?;
+    let staff = wire::listen(config.operators).map_err(bind("staff at", config.operators))?;
+    let (tx, mut rx) = mpsc::channel(QUEUE);
+    tokio::task::spawn_local(wire::accept(calls, tx.clone()));
+    tokio::task::spawn_local(operators::accept(staff, tx.clone()));
+    let clock = Clock::start();
+    let core = Membership::new(config.membership.clone(), start_of(&config));
+    let node = match &config.node {
+        Some(node) => Some(NodeHost::new(&config, node.clone(), tx.clone())?),
+        None => None,
+    };
+    let supervise = config.node.as_ref().map(|node| node.supervise.clone()).unwrap_or_default();
+    info!(name = %config.name, listen = %config.listen, operators = %config.operators, "agent starts");
+    let mut host = Host {
+        config,
+        clock,
+        core,
+        supervisor: Supervisor::new(supervise),
+        node,
+        node_state: NodeState::Stopped,
+        udp,
+        tx,
+        conns: BTreeMap::new(),
+        conn_number: 0,
+        stopping: false,
+        unsent: 0,
+        ended: None,
+    };
+    // The node first: it waits for nothing of the plane.
+    if let Some(node) = &mut host.node {
+        let adopted = node.adopt();
+        host.supervise(supervise::Event::Begin { adopted });
+    }
+    host.member(membership::Event::Start);
+    let mut buffer = vec![0; LONGEST_DATAGRAM + 1];
+    loop {
+        host.round(&mut buffer, &mut rx);
+        if let Some(exit) = host.ended.take() {
+            return Ok(exit);
+        }
+        let next = host.core.next_wake().min(host.supervisor.next_wake());
+        tokio::select! {
+            _ = host.udp.readable() => {}
+            Some(msg) = rx.recv() => host.message(msg),
+            () = tokio::time::sleep_until(host.clock.instant(next)) => {}
+            _ = term.recv() => host.stop("SIGTERM"),
+            _ = interrupt.recv() => host.stop("SIGINT"),
+        }
+    }
+}
+
+fn start_of(config: &Config) -> Start {
+    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    let record = Record {
+        name: config.name.clone(),
+        generation: 0,
+        process: random(),
+        version: 0,
+        addr: config.advertise,
+        operators: Some(config.operators),
+        clients: config.node.as_ref().map(|node| node.listen),
+        machine: config.machine.clone(),
+        zone: config.zone.clone(),
+        program: env!("CARGO_PKG_VERSION").into(),
+        started_ms: started.as_millis() as u64,
+        node: NodeState::Stopped,
+        left: false,
+        formats: config.membership.formats,
+        note: String::new(),
+    };
+    Start { record, seeds: config.seeds.clone(), seed: random() }
+}
+
+impl Host {
+    /// All that waits, network first: after a pause the backlog is heard before anyone is judged by the time.
+    fn round(&mut self, buffer: &mut [u8], rx: &mut mpsc::Receiver<Msg>) {
+        for _ in 0..ROUND {
+            match self.udp.try_recv_from(buffer) {
+                Ok((length, _)) => self.member(membership::Event::Datagram(buffer[..length].to_vec())),
+                // Loopback tells of ports that nobody has; the next one may be fine.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {}
+                Err(_) => break,
+            }
+        }
+        for _ in 0..ROUND {
+            let Ok(msg) = rx.try_recv() else { break };
+            self.message(msg);
+        }
+        let now = self.clock.now();
+        if now >= self.core.next_wake() {
+            self.member(membership::Event::Wake);
+        }
+        if now >= self.supervisor.next_wake() {
+            self.supervise(supervise::Event::Wake);
+        }
+    }
+
+    fn message(&mut self, msg: Msg) {
+        match msg {
+            Msg::Called { bytes, answer } => {
+                self.conn_number += 1;
+                let conn = self.conn_number;
+                self.conns.insert(conn, answer);
+                self.member(membership::Event::Called { conn, bytes });
+                // Not answered at once is not answered: dropped, it tells the caller's task.
+                self.conns.remove(&conn);
+            }
+            Msg::CallEnded { call, answer: Some(bytes) } => {
+                self.member(membership::Event::Answered { call, bytes });
+            }
+            Msg::CallEnded { call, answer: None } => self.member(membership::Event::CallFailed(call)),
+            Msg::Node(event) => {
+                if let (supervise::Event::Ended(_), Some(node)) = (&event, &mut self.node) {
+                    node.ended();
+                }
+                self.supervise(event);
+            }
+            // Who asked may have gone.
+            Msg::Report(answer) => drop(answer.send(Box::new(self.core.report(self.clock.now())))),
+            Msg::Figures(answer) => drop(answer.send(self.figures())),
+        }
+    }
+
+    fn figures(&self) -> String {
+        let report = self.core.report(self.clock.now());
+        let node = self.node.as_ref().map(|node| (self.node_state, node.starts()));
+        figures::text(&report, node, self.unsent)
+    }
+
+    fn stop(&mut self, why: &str) {
+        if std::mem::replace(&mut self.stopping, true) {
+            return;
+        }
+        info!(why, "agent stops");
+        if self.node.is_some() {
+            self.supervise(supervise::Event::Stop);
+        } else {
+            self.member(membership::Event::Leave);
+        }
+    }
+
+    fn member(&mut self, event: membership::Event) {
+        let mut actions = Vec::new();
+        let now: Micros = self.clock.now();
+        self.core.on_event(now, event, &mut actions);
+        for action in actions {
+            match action {
+                membership::Action::Send { to, bytes } => {
+                    // A datagram that does not go out is one that is lost: membership expects some to be.
+                    if self.udp.try_send_to(&bytes, to).is_err() {
+                        self.unsent += 1;
+                    }
+                }
+                membership::Action::Call { call, to, bytes } => {
+                    let (from, tx) = (self.config.listen.ip(), self.tx.clone());
+                    tokio::task::spawn_local(async move {
+                        let answer = wire::call(from, to, bytes).await;
+                        // The main task has ended where nobody takes it.
+                        let _ = tx.send(Msg::CallEnded { call, answer }).await;
+                    });
+                }
+                membership::Action::Answer { conn, bytes } => {
+                    if let Some(answer) = self.conns.remove(&conn) {
+                        let _ = answer.send(bytes);
+                    }
+                }
+                membership::Action::Tell(change) => tell::change(&self.config.name, &change),
+                membership::Action::Refused(holder) => {
+                    warn!(name = %self.config.name, holder = %holder.addr, started_ms = holder.started_ms,
+                        "refused: an older process holds this name");
+                    self.refused(holder);
+                }
+                membership::Action::Gone => self.ended = Some(Exit::Left),
+            }
+        }
+    }
+
+    fn refused(&mut self, holder: Box<Record>) {
+        self.stopping = true;
+        self.ended = Some(Exit::Refused(holder));
+        if let Some(node) = &mut self.node {
+            // It serves under a name that is another's: it goes at once, and nothing of it stays behind.
+            node.end_now();
+        }
+    }
+
+    fn supervise(&mut self, event: supervise::Event) {
+        let mut actions = Vec::new();
+        self.supervisor.on_event(self.clock.now(), event, &mut actions);
+        for action in actions {
+            let Some(node) = &mut self.node else { return };
+            match action {
+                supervise::Action::Start => {
+                    let event = match node.start() {
+                        Ok(pid) => supervise::Event::Started(pid),
+                        Err(error) => supervise::Event::NotStarted(error.to_string()),
+                    };
+                    self.supervise(event);
+                }
+                supervise::Action::Ask => node.ask(),
+                supervise::Action::Terminate => node.terminate(),
+                supervise::Action::Kill => node.kill(),
+                supervise::Action::Release => node.release(),
+                supervise::Action::Tell { state, note } => {
+                    info!(node = state.word(), note, "node");
+                    self.node_state = state;
+                    self.member(membership::Event::Node { state, note });
+                }
+                supervise::Action::Done => self.member(membership::Event::Leave),
+            }
+        }
+    }
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,10 +1,14 @@
 //! The fleet plane: what the processes of a fleet know of each other, and the agent that runs a node.
 //!
-//! [`membership`] is pure, as the node's decisions are: events and the time in, actions out. Nothing here is on the way of a request, and the node knows nothing of it.
+//! [`membership`] and [`supervise`] are pure, as the node's decisions are: events and the time in, actions out.
+//! [`host`] does their I/O on tokio. Nothing here is on the way of a request, and the node knows nothing of it.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod config;
+pub mod host;
 pub mod membership;
+pub mod supervise;
 
 /// Microseconds on the caller's monotonic clock.
 pub type Micros = u64;
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -42,6 +42,10 @@
     Report(Report),
     /// Hold the node against a bare forwarder on the same sockets, by turns
     Bench(Bench),
+    /// Measure membership among agents: time to know a death, false failures, healing, cost
+    ///
+    /// In virtual time, a play a seed; with --agent also on real processes, loopback only.
+    Plane(Plane),
     /// List the scenarios that ship, a line each
     Scenarios,
 }
@@ -195,3 +199,23 @@
         self.day.check((100, 250, 3600.0))
     }
 }
+
+/// What is measured of the fleet plane.
+#[derive(Args, Debug)]
+pub struct Plane {
+    /// Fleet sizes in virtual time
+    #[arg(long, value_delimiter = ',', default_value = "5,30,100", value_name = "N,..")]
+    pub members: Vec<usize>,
+    /// Plays of each, one a seed; also the kills on real processes
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+    pub plays: u64,
+    /// Hours of virtual time at each loss; 0 leaves false failures out
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(0..=1_000))]
+    pub hours: u64,
+    /// Parts of datagrams that are lost, for false failures
+    #[arg(long, value_delimiter = ',', default_value = "0,0.05,0.2", value_name = "PART,..")]
+    pub loss: Vec<f64>,
+    /// The agent's program: five processes of it are measured too
+    #[arg(long, value_name = "FILE")]
+    pub agent: Option<PathBuf>,
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -18,7 +18,7 @@
 use woodgap_lab::sim::{self, SimPlan};
 use woodgap_lab::wire::{self, Child};
 
-use cli::{Bench, Cli, Command, Experiment, Replay, Report, Sim, Up};
+use cli::{Bench, Cli, Command, Experiment, Plane, Replay, Report, Sim, Up};
 
 /// A rule was broken or a node crashed.
 const BROKEN: u8 = 1;
@@ -41,6 +41,7 @@
         Command::Experiment(experiment) => experiment_with(&experiment),
         Command::Report(of) => report_on(&of),
         Command::Bench(bench) => compare_with(&bench),
+        Command::Plane(plane) => measure_plane(&plane),
         Command::Scenarios => scenarios(),
     };
     done.unwrap_or_else(|error| {
@@ -58,6 +59,50 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Members of the real fleet.
+const REAL: usize = 5;
+
+fn measure_plane(plane: &Plane) -> Result<ExitCode, Box<dyn Error>> {
+    use woodgap_lab::plane::measure::{self, Spread};
+    if plane.members.iter().any(|members| !(2..=3_000).contains(members)) {
+        return Err("--members: 2 to 3000 each".into());
+    }
+    if plane.loss.iter().any(|loss| !(0.0..=0.9).contains(loss)) {
+        return Err("--loss: 0 to 0.9 each".into());
+    }
+    let mut out = stdout().lock();
+    let ms = |s: Spread| format!("p50 {} ms, p99 {} ms, most {} ms of {}", s.p50, s.p99, s.most, s.plays);
+    for &members in &plane.members {
+        writeln!(out, "{members} members, a probe each 200 ms, virtual time")?;
+        writeln!(out, "  death known by all   {}", ms(measure::detection(members, plane.plays)))?;
+        writeln!(out, "  agreed after healing {}", ms(measure::healing(members, plane.plays)))?;
+        let cost = measure::cost(members, 60);
+        writeln!(
+            out,
+            "  a member a second    {:.0} bytes, {:.1} datagrams, {:.0} us of the core",
+            cost.bytes_out, cost.datagrams_out, cost.cpu_us
+        )?;
+        for &loss in plane.loss.iter().filter(|_| plane.hours > 0) {
+            let falsely = measure::false_failures(members, loss, plane.hours);
+            let hours = plane.hours;
+            writeln!(out, "  {:>3.0} % loss, {hours} h     {falsely} called failed falsely", loss * 100.0)?;
+        }
+    }
+    if let Some(program) = &plane.agent {
+        let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+        let real = runtime.block_on(measure::real(program, REAL, plane.plays as usize))?;
+        writeln!(out, "{REAL} real processes on loopback")?;
+        writeln!(out, "  death known by all   {}", ms(real.detection))?;
+        writeln!(out, "  agreed after healing {}", ms(real.healing))?;
+        writeln!(
+            out,
+            "  at rest              {:.0} bytes and {:.2} ms of CPU a second each, {:.1} MiB at most",
+            real.bytes_out, real.cpu_ms, real.memory_mib
+        )?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn play(up: &Up) -> Result<ExitCode, Box<dyn Error>> {
     let mut scenario = Scenario::find(&up.day.scenario)?;
     up.check()?;
--- a/lab/src/plane/virt.rs
+++ b/lab/src/plane/virt.rs
@@ -16,6 +16,8 @@
 
 /// A call that gets no answer is given up after this.
 const CALL_PATIENCE: Micros = 1_000_000;
+/// The first agent's address; the others follow.
+const FIRST_IP: u32 = 0x0a00_0001;
 /// The wall clock at the start of a play, in milliseconds.
 const WALL_MS: u64 = 1_700_000_000_000;
 
@@ -96,7 +98,7 @@
 
 /// An agent's address in virtual time.
 pub fn address(agent: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + agent as u32 + 1), 7_000))
+    SocketAddr::from((Ipv4Addr::from(FIRST_IP + agent as u32), 7_000))
 }
 
 /// An agent's name.
@@ -345,7 +347,9 @@
     }
 
     fn agent_at(&self, addr: SocketAddr) -> Option<usize> {
-        (0..self.agents.len()).find(|&agent| address(agent) == addr)
+        let SocketAddr::V4(addr) = addr else { return None };
+        let agent = u32::from(*addr.ip()).checked_sub(FIRST_IP)? as usize;
+        (agent < self.agents.len()).then_some(agent)
     }
 
     fn chance(&mut self, part: f64) -> bool {
