--- a/lab/src/host/clients.rs
+++ b/lab/src/host/clients.rs
@@ -300,7 +300,7 @@
     async fn link(&self, ask: &Ask, until: tokio::time::Instant, rng: &mut Pcg64) -> Option<Link> {
         for _ in 0..FRESH_TRIES {
             let now = self.stage.now();
-            let dealt = self.stage.front(|front| front.nodes(now, ask.zone));
+            let dealt = self.stage.front(|front| front.nodes(now, ask.zone).to_vec());
             let mut nodes = dealt.clone();
             for node in 0..self.nodes.len() {
                 if !nodes.contains(&node) && !locked(self.slot(ask.zone, node)).is_empty() {
@@ -321,7 +321,7 @@
 
     async fn dial_any(&self, ask: &Ask, until: tokio::time::Instant, rng: &mut Pcg64) -> Option<Link> {
         let now = self.stage.now();
-        let nodes = self.stage.front(|front| front.nodes(now, ask.zone));
+        let nodes = self.stage.front(|front| front.nodes(now, ask.zone).to_vec());
         self.dial(Front::pick(&nodes, rng)?, until).await
     }
 
--- a/lab/src/sim/run/tries.rs
+++ b/lab/src/sim/run/tries.rs
@@ -8,7 +8,7 @@
         let Some(attempt) = self.clients[client].try_at(self.now) else { return };
         let ask = self.clients[client].ask().clone();
         let nodes = self.front.nodes(self.now, ask.zone);
-        let process = Front::pick(&nodes, &mut self.rng).and_then(|node| self.serving[node]);
+        let process = Front::pick(nodes, &mut self.rng).and_then(|node| self.serving[node]);
         let Some(process) = process else {
             self.referee.unreachable();
             return self.next_try(client, Answer::Unreachable);
--- a/lab/src/world/front.rs
+++ b/lab/src/world/front.rs
@@ -25,6 +25,9 @@
     zones: usize,
     beliefs: Vec<Belief>,
     notice: Micros,
+    /// The lists of nodes, by zone, until then: tries ask for one each, and they change seldom.
+    dealt: Vec<Vec<NodeId>>,
+    until: Micros,
 }
 
 impl Front {
@@ -37,11 +40,12 @@
 
     /// Fronts of so many zones and nodes that notice a death after `notice`.
     pub fn new(zones: usize, nodes: usize, notice: Micros) -> Front {
-        Front { zones, beliefs: vec![Belief::New; nodes], notice }
+        Front { zones, beliefs: vec![Belief::New; nodes], notice, dealt: Vec::new(), until: 0 }
     }
 
     /// A node has answered whether it is ready.
     pub fn said(&mut self, now: Micros, node: NodeId, ready: bool) {
+        self.until = 0;
         self.beliefs[node] = match (ready, self.beliefs[node]) {
             (true, _) => Belief::Ready,
             (false, Belief::Ready) => Belief::Until(now + STILL_COMES),
@@ -52,6 +56,7 @@
     /// A node does not answer; the front believes it after its while.
     pub fn silent(&mut self, now: Micros, node: NodeId) {
         if let Belief::Ready = self.beliefs[node] {
+            self.until = 0;
             self.beliefs[node] = Belief::Until(now + self.notice);
         }
     }
@@ -66,14 +71,29 @@
     }
 
     /// The nodes of a zone that it deals to; where there are none, those of all zones.
-    pub fn nodes(&self, now: Micros, zone: usize) -> Vec<NodeId> {
-        let all: Vec<NodeId> = (0..self.beliefs.len()).filter(|&node| self.deals(now, node)).collect();
-        let own: Vec<NodeId> = all.iter().copied().filter(|node| node % self.zones == zone).collect();
-        if own.is_empty() {
-            all
-        } else {
-            own
+    pub fn nodes(&mut self, now: Micros, zone: usize) -> &[NodeId] {
+        if now >= self.until {
+            self.deal(now);
         }
+        &self.dealt[zone]
+    }
+
+    fn deal(&mut self, now: Micros) {
+        let all: Vec<NodeId> = (0..self.beliefs.len()).filter(|&node| self.deals(now, node)).collect();
+        let list = |zone: usize| {
+            let own: Vec<NodeId> = all.iter().copied().filter(|node| node % self.zones == zone).collect();
+            if own.is_empty() {
+                all.clone()
+            } else {
+                own
+            }
+        };
+        self.dealt = (0..self.zones).map(list).collect();
+        let ends = self.beliefs.iter().filter_map(|belief| match belief {
+            Belief::Until(end) if *end > now => Some(*end),
+            _ => None,
+        });
+        self.until = ends.min().unwrap_or(Micros::MAX);
     }
 
     /// One of some nodes.
