--- a/fleet/src/membership/board.rs
+++ b/fleet/src/membership/board.rs
@@ -48,7 +48,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    records: BTreeMap<Name, Record>,
+    records: BTreeMap<Name, Rc<Record>>,
     most: usize,
     /// With the order in which they came.
     accusations: BTreeMap<Accusation, u64>,
@@ -69,23 +69,29 @@
     /// Takes a record in where it is newer than what is known. Whether it was.
     pub fn merge(&self, record: &Record) -> bool {
         let mut inner = self.0.borrow_mut();
-        let known = inner.records.get(&record.name).map(Record::age);
+        let known = inner.records.get(&record.name).map(|known| known.age());
         if known >= Some(record.age()) || (known.is_none() && inner.records.len() >= inner.most) {
             return false;
         }
-        inner.records.insert(record.name.clone(), record.clone());
+        inner.records.insert(record.name.clone(), Rc::new(record.clone()));
         inner.news.push(Item::Record(record.clone()));
         true
     }
 
     /// What a life of a member says of itself, where it is known.
-    pub fn record(&self, identity: &Identity) -> Option<Record> {
+    pub fn record(&self, identity: &Identity) -> Option<Rc<Record>> {
         self.0.borrow().records.get(&identity.name).filter(|record| record.is_of(identity)).cloned()
     }
 
+    /// The newest message format that a life of a member reads, where it has said so.
+    pub fn format(&self, identity: &Identity) -> Option<u8> {
+        let inner = self.0.borrow();
+        inner.records.get(&identity.name).filter(|record| record.is_of(identity)).map(|r| r.formats.newest)
+    }
+
     /// All records.
     pub fn records(&self) -> Vec<Record> {
-        self.0.borrow().records.values().cloned().collect()
+        self.0.borrow().records.values().map(|record| Record::clone(record)).collect()
     }
 
     /// Forgets names that are no member's any more.
--- a/fleet/src/membership/core/mod.rs
+++ b/fleet/src/membership/core/mod.rs
@@ -167,6 +167,7 @@
     sync_at: Micros,
     seed_at: Micros,
     dirty: bool,
+    ticks: u64,
     /// When the host was told to wake this agent: later than that, it was paused.
     promised: Micros,
     /// Members that asked whether this agent lives, to be answered at once.
@@ -218,6 +219,7 @@
             sync_at: Micros::MAX,
             seed_at: Micros::MAX,
             dirty: false,
+            ticks: 0,
             promised: Micros::MAX,
             askers: Vec::new(),
         }
--- a/fleet/src/membership/core/swim.rs
+++ b/fleet/src/membership/core/swim.rs
@@ -9,6 +9,9 @@
 use crate::membership::suspicion::Suspicion;
 use crate::membership::view::Presence;
 
+/// Without suspects SWIM's state is looked through once in so many probe intervals.
+const QUIET_TICKS: u64 = 10;
+
 impl Membership {
     pub(super) fn datagram(&mut self, now: Micros, bytes: &[u8]) {
         self.counts.datagrams_in += 1;
@@ -100,7 +103,9 @@
         }
         if now >= self.tick_at {
             self.tick_at = now + interval;
-            self.dirty = true;
+            self.ticks += 1;
+            // foca does not tell of refutations: they are looked for while there are suspects, and now and then.
+            self.dirty |= self.timers.has_suspects() || self.ticks % QUIET_TICKS == 0;
             self.tick(now, actions);
         }
         if matches!(self.phase, Phase::Leaving { until } if now >= until) {
@@ -292,8 +297,7 @@
 
     /// The newest format that both read; the oldest for one that has not said.
     fn format_for(&self, to: &Identity) -> u8 {
-        let theirs =
-            self.board.record(to).map_or(super::super::FORMATS.least, |record| record.formats.newest);
+        let theirs = self.board.format(to).unwrap_or(super::super::FORMATS.least);
         theirs.min(self.settings.formats.newest)
     }
 
@@ -317,11 +321,11 @@
         });
         let (view, me) = (&self.view, &self.me.name);
         if !changes.is_empty() {
+            self.digests.retain(now, |name| name != me && view.has(name));
             self.board.retain(|name| view.get(name).is_some());
             self.reach.retain(|name| view.has(name));
             self.quorum.leave(view);
         }
-        self.digests.retain(now, |name| name != me && view.has(name));
         self.digests.set_mine(now, view.digest());
         actions.extend(changes.into_iter().map(Action::Tell));
     }
--- a/fleet/src/membership/digest.rs
+++ b/fleet/src/membership/digest.rs
@@ -37,6 +37,8 @@
     mine: u64,
     changed: Micros,
     peers: BTreeMap<Name, Peer>,
+    /// Peers whose digest is not `mine`: kept, as each datagram brings one.
+    apart: usize,
     agreed: Option<Micros>,
 }
 
@@ -46,20 +48,31 @@
         if digest != self.mine {
             self.mine = digest;
             self.changed = now;
-            self.judge(now);
+            self.recount(now);
         }
     }
 
     /// Another's came with a datagram or an exchange.
     pub fn heard(&mut self, now: Micros, name: &Name, digest: u64) {
-        let fresh = Peer { digest, heard: now, differs: None, asked: None, names: Vec::new() };
-        let peer = self.peers.entry(name.clone()).or_insert(fresh);
-        (peer.digest, peer.heard) = (digest, now);
-        if digest == self.mine {
-            peer.differs = None;
-            peer.names.clear();
-        } else {
-            peer.differs.get_or_insert(now);
+        let mine = self.mine;
+        let apart = |digest: u64| usize::from(digest != mine);
+        match self.peers.get_mut(name) {
+            Some(peer) => {
+                self.apart = self.apart + apart(digest) - apart(peer.digest);
+                (peer.digest, peer.heard) = (digest, now);
+                if digest == mine {
+                    peer.differs = None;
+                    peer.names.clear();
+                } else {
+                    peer.differs.get_or_insert(now);
+                }
+            }
+            None => {
+                let differs = (digest != mine).then_some(now);
+                let peer = Peer { digest, heard: now, differs, asked: None, names: Vec::new() };
+                self.apart += apart(digest);
+                self.peers.insert(name.clone(), peer);
+            }
         }
         self.judge(now);
     }
@@ -67,12 +80,16 @@
     /// Keeps those that are present, this agent not among them.
     pub fn retain(&mut self, now: Micros, present: impl Fn(&Name) -> bool) {
         self.peers.retain(|name, _| present(name));
+        self.recount(now);
+    }
+
+    fn recount(&mut self, now: Micros) {
+        self.apart = self.peers.values().filter(|peer| peer.digest != self.mine).count();
         self.judge(now);
     }
 
     fn judge(&mut self, now: Micros) {
-        let same = self.peers.values().all(|peer| peer.digest == self.mine);
-        self.agreed = if same { Some(self.agreed.unwrap_or(now)) } else { None };
+        self.agreed = if self.apart == 0 { Some(self.agreed.unwrap_or(now)) } else { None };
     }
 
     /// Where a peer's view differs, as found by an exchange.
--- a/fleet/src/membership/timers.rs
+++ b/fleet/src/membership/timers.rs
@@ -54,6 +54,11 @@
         self.suspects.range(range).next_back().map(|((_, _, incarnation), _)| *incarnation)
     }
 
+    /// Whether anybody is under suspicion.
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
     /// The earliest time at which something is due.
     pub fn next(&self) -> Option<Micros> {
         let queued = self.queue.peek().map(|Reverse((at, _))| *at);
--- a/fleet/src/membership/view.rs
+++ b/fleet/src/membership/view.rs
@@ -2,6 +2,7 @@
 //! one number for all of it. It takes SWIM's word and the records, and tells what changed.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use foca::State;
 use serde::{Deserialize, Serialize};
@@ -54,12 +55,18 @@
     /// Since when.
     pub since: Micros,
     /// What it says of itself: the last words of one that failed.
-    pub record: Option<Record>,
+    pub record: Option<Rc<Record>>,
+    /// The refresh that saw it last.
+    round: u64,
 }
 
 impl Entry {
+    fn node(&self) -> Option<NodeState> {
+        self.record.as_ref().map(|record| record.node)
+    }
+
     fn line(&self) -> String {
-        let node = self.record.as_ref().map_or("unknown", |record| record.node.word());
+        let node = self.node().map_or("unknown", NodeState::word);
         let presence = if self.presence.is_present() { "present" } else { self.presence.word() };
         format!("{presence}, node {node}, generation {}", self.identity.generation)
     }
@@ -112,6 +119,7 @@
 pub struct View {
     entries: BTreeMap<Name, Entry>,
     digest: u64,
+    round: u64,
 }
 
 impl View {
@@ -148,8 +156,10 @@
         board: &Board,
         changes: &mut Vec<Change>,
     ) {
-        let mut before = std::mem::take(&mut self.entries);
+        self.round += 1;
+        let (mut seen, mut hashed) = (0, false);
         for (identity, incarnation, state) in rows {
+            seen += 1;
             let record = board.record(&identity);
             let left = record.as_ref().is_some_and(|record| record.left);
             let presence = match state {
@@ -158,33 +168,39 @@
                 State::Suspect => Presence::Suspect,
                 State::Down => Presence::Failed,
             };
-            let old = before.remove(&identity.name);
-            let same = |old: &Entry| {
-                old.presence == presence
-                    && old.identity.generation == identity.generation
-                    && old.identity.process == identity.process
-            };
-            let since = old.as_ref().filter(|old| same(old)).map_or(now, |old| old.since);
-            if !old.as_ref().is_some_and(same) {
-                let words = record.as_ref().map(last_words).unwrap_or_default();
-                changes.push(Change::Member {
-                    name: identity.name.clone(),
-                    from: old.as_ref().map(|old| old.presence),
-                    to: presence,
-                    generation: identity.generation,
-                    words,
-                });
+            let old = self.entries.get(&identity.name);
+            let (from, node_before) = (old.map(|old| old.presence), old.and_then(Entry::node));
+            let same_life = old.is_some_and(|old| {
+                old.identity.generation == identity.generation && old.identity.process == identity.process
+            });
+            let since = old.filter(|_| same_life && from == Some(presence)).map(|old| old.since);
+            if since.is_none() {
+                let words = record.as_deref().map(last_words).unwrap_or_default();
+                let (name, generation) = (identity.name.clone(), identity.generation);
+                changes.push(Change::Member { name, from, to: presence, generation, words });
             }
             let node = record.as_ref().map(|record| record.node);
-            let node_before = old.as_ref().and_then(|old| old.record.as_ref()).map(|record| record.node);
             if let Some(to) = node.filter(|_| node != node_before && presence.is_present()) {
                 changes.push(Change::Node { name: identity.name.clone(), to });
             }
-            let name = identity.name.clone();
-            self.entries.insert(name, Entry { identity, incarnation, presence, since, record });
+            hashed |= since.is_none() || node != node_before;
+            let (name, round) = (identity.name.clone(), self.round);
+            let since = since.unwrap_or(now);
+            self.entries.insert(name, Entry { identity, incarnation, presence, since, record, round });
+        }
+        if seen < self.entries.len() {
+            let round = self.round;
+            self.entries.retain(|name, entry| {
+                let stays = entry.round == round;
+                if !stays {
+                    changes.push(Change::Forgotten(name.clone()));
+                }
+                stays
+            });
+        }
+        if hashed {
+            self.digest = self.present().map(hash).fold(0, |all, one| all ^ one);
         }
-        changes.extend(before.into_keys().map(Change::Forgotten));
-        self.digest = self.present().map(hash).fold(0, |all, one| all ^ one);
     }
 
     /// Where another's members differ from these, the first few by name.
@@ -206,8 +222,7 @@
 }
 
 fn hash(entry: &Entry) -> u64 {
-    let node = entry.record.as_ref().map(|record| record.node);
-    let key = (&entry.identity.name, entry.identity.generation, node);
+    let key = (&entry.identity.name, entry.identity.generation, entry.node());
     xxh3_64(&postcard::to_stdvec(&key).unwrap_or_default())
 }
 
--- a/lab/src/plane/virt.rs
+++ b/lab/src/plane/virt.rs
@@ -374,7 +374,7 @@
         probe_interval: Duration::from_millis(200),
         probe_timeout: Duration::from_millis(60),
         gossip_interval: Duration::from_millis(100),
-        rejoin_interval: Duration::from_millis(500),
+        rejoin_interval: Duration::from_millis(300),
         seed_interval: Duration::from_secs(2),
         settle: Duration::from_secs(1),
         sync_interval: Duration::from_secs(15),
--- a/lab/src/scenario/model.rs
+++ b/lab/src/scenario/model.rs
@@ -45,6 +45,8 @@
     pub nodes: usize,
     /// Servers at the start.
     pub servers: usize,
+    /// Nodes that share the servers, as the nodes are told; without it, as many as there are.
+    pub told_nodes: Option<u32>,
     /// Memory limit that a node is told, in MB.
     pub memory_mb: Positive,
     /// Descriptor limit that a node is told.
@@ -53,7 +55,14 @@
 
 impl Default for Run {
     fn default() -> Self {
-        Run { seconds: Seconds(20.0), nodes: 2, servers: 9, memory_mb: Positive(64.0), sockets: 1024 }
+        Run {
+            seconds: Seconds(20.0),
+            nodes: 2,
+            servers: 9,
+            told_nodes: None,
+            memory_mb: Positive(64.0),
+            sockets: 1024,
+        }
     }
 }
 
--- a/lab/src/terms.rs
+++ b/lab/src/terms.rs
@@ -27,7 +27,7 @@
         in_order: false,
     });
     Settings {
-        group_size: nodes as u32,
+        group_size: scenario.run.told_nodes.unwrap_or(nodes as u32).max(1),
         classes: classes.collect(),
         over_share_worth: 0.1,
         worth_by: WorthBy::Work,
