--- /dev/null
+++ b/fleet/src/agreement/voter.rs
@@ -0,0 +1,315 @@
+//! Owns one voter: what it may say before what it promised is kept, and what is agreed. One thing is saved at a
+//! time; what comes meanwhile waits, within a bound.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use raft::eraftpb::Message;
+use raft::{Config, RawNode, Ready, StateRole};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use super::log::{of_entry, Hard, Item, Kept, Log, Save, SnapshotKept};
+use super::message::{decode, encode, Fault, LONGEST_COMMAND};
+use crate::Micros;
+
+/// Messages and proposals that wait while something is saved, at most: more are dropped, as a network may.
+const MOST_WAITING: usize = 1_024;
+/// Bytes of entries in a message: it fits a datagram with one entry of the longest.
+const MESSAGE_BYTES: u64 = 1_000;
+
+/// A voter by number, not 0.
+pub type VoterId = u64;
+
+/// Who votes, and how fast.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This one.
+    pub me: VoterId,
+    /// All of them.
+    pub voters: Vec<VoterId>,
+    /// The clock's step. A leader's heartbeat comes each step.
+    pub tick: Duration,
+    /// Steps without a leader before an election, at least; up to twice as many, by voter.
+    pub election_ticks: usize,
+    /// Entries after which the log is cut to a snapshot.
+    pub compact_after: u64,
+}
+
+/// What a voter learns.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Another voter's message.
+    Message(Vec<u8>),
+    /// Something to agree on; tried, not promised.
+    Propose(Vec<u8>),
+    /// The save of that number is on disk for good.
+    Saved(u64),
+    /// The state at an entry that was applied, so that the log may be cut.
+    Snapshot {
+        /// The last entry in it.
+        index: u64,
+        /// The state.
+        data: Vec<u8>,
+    },
+    /// The time of [`Voter::next_wake`] has come.
+    Wake,
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send to another voter.
+    Send {
+        /// Whom.
+        to: VoterId,
+        /// What.
+        bytes: Vec<u8>,
+    },
+    /// Keep this, for good before [`Event::Saved`] is said. Saves come one after the other.
+    Save {
+        /// Its number.
+        number: u64,
+        /// What.
+        save: Save,
+    },
+    /// Agreed by a majority: to be applied, once and in order. Empty commands are left out.
+    Apply(Item),
+    /// Take over a state in place of all up to its entry.
+    Restore(SnapshotKept),
+    /// The leader is another one now, or unknown.
+    Leader {
+        /// The term.
+        term: u64,
+        /// Who; `None` while there is none.
+        leader: Option<VoterId>,
+    },
+    /// The log has grown: [`Event::Snapshot`] is welcome.
+    Compact,
+    /// A proposal that can't be tried: no leader, or too long. It has no effect.
+    NotTried(Vec<u8>),
+}
+
+/// Why there is no voter.
+#[derive(Debug, thiserror::Error)]
+pub enum VoterError {
+    /// What it kept has a gap, or does not fit together: it must not vote again.
+    #[error("what the voter kept is not whole")]
+    Unsound,
+    /// The settings are not sound.
+    #[error("{0}")]
+    Settings(#[from] raft::Error),
+}
+
+/// One voter.
+pub struct Voter {
+    settings: Settings,
+    raw: RawNode<Log>,
+    log: Log,
+    wake: Micros,
+    saving: Option<(u64, Ready)>,
+    number: u64,
+    waiting: VecDeque<Event>,
+    leader: (u64, u64),
+    asked_to_compact: u64,
+    /// Messages dropped, by what was wrong.
+    pub dropped: Vec<Fault>,
+}
+
+impl Voter {
+    /// A voter with what it kept. One that has lost what it kept must not come back as a voter: it may have
+    /// voted in a term that it does not remember.
+    pub fn new(settings: Settings, kept: Kept, seed: u64, now: Micros) -> Result<Voter, VoterError> {
+        if !kept.is_sound() {
+            return Err(VoterError::Unsound);
+        }
+        let mut rng = Pcg64::seed_from_u64(seed ^ settings.me);
+        let span = settings.election_ticks.max(3);
+        let drawn = span + (rng.next_u64() % span as u64) as usize;
+        let applied = kept.snapshot.index;
+        let log = Log::new(kept, settings.voters.clone());
+        let config = Config {
+            id: settings.me,
+            election_tick: span,
+            heartbeat_tick: 1,
+            applied,
+            max_size_per_msg: MESSAGE_BYTES,
+            max_inflight_msgs: 64,
+            check_quorum: true,
+            pre_vote: true,
+            // The crate draws from the thread's generator: between these two there is one value.
+            min_election_tick: drawn,
+            max_election_tick: drawn + 1,
+            max_uncommitted_size: 1 << 20,
+            ..Config::default()
+        };
+        let silent = slog::Logger::root(slog::Discard, slog::o!());
+        let raw = RawNode::new(&config, log.clone(), &silent)?;
+        let wake = now + settings.tick.as_micros() as Micros;
+        Ok(Voter {
+            settings,
+            raw,
+            log,
+            wake,
+            saving: None,
+            number: 0,
+            waiting: VecDeque::new(),
+            leader: (0, 0),
+            asked_to_compact: 0,
+            dropped: Vec::new(),
+        })
+    }
+
+    /// When [`Event::Wake`] is due.
+    pub fn next_wake(&self) -> Micros {
+        self.wake
+    }
+
+    /// The term, and whether this voter leads it.
+    pub fn leads(&self) -> Option<u64> {
+        (self.raw.raft.state == StateRole::Leader).then_some(self.raw.raft.term)
+    }
+
+    /// Who leads, as far as known.
+    pub fn leader(&self) -> Option<VoterId> {
+        Some(self.raw.raft.leader_id).filter(|id| *id != 0)
+    }
+
+    /// Takes an event and appends what is to be done, in order.
+    pub fn on_event(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Saved(number) => self.saved(number, actions),
+            Event::Wake => {
+                // Late is one step, not many: a paused voter may not run ahead of what it has not heard.
+                self.wake = now + self.settings.tick.as_micros() as Micros;
+                if self.saving.is_none() {
+                    self.raw.tick();
+                }
+            }
+            event if self.saving.is_some() => {
+                if self.waiting.len() < MOST_WAITING {
+                    self.waiting.push_back(event);
+                } else if let Event::Propose(data) = event {
+                    actions.push(Action::NotTried(data));
+                }
+            }
+            event => self.take(event, actions),
+        }
+        self.drain(actions);
+    }
+
+    fn take(&mut self, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Message(bytes) => {
+                let (me, voters) = (self.settings.me, &self.settings.voters);
+                match decode(&bytes, me, voters, self.log.last()) {
+                    // The crate refuses what is stale or out of place; that is the network's doing.
+                    Ok(message) => drop(self.raw.step(message)),
+                    Err(fault) if self.dropped.len() < MOST_WAITING => self.dropped.push(fault),
+                    Err(_) => {}
+                }
+            }
+            Event::Propose(data) => {
+                let tried =
+                    data.len() <= LONGEST_COMMAND && self.raw.propose(Vec::new(), data.clone()).is_ok();
+                if !tried {
+                    actions.push(Action::NotTried(data));
+                }
+            }
+            Event::Snapshot { index, data } => {
+                if let Some(snapshot) = self.log.compact(index, data) {
+                    self.number += 1;
+                    let save = Save { snapshot: Some(snapshot), ..Save::default() };
+                    actions.push(Action::Save { number: self.number, save });
+                }
+            }
+            Event::Saved(_) | Event::Wake => {}
+        }
+    }
+
+    /// Handles what Raft has ready, until something has to be saved first.
+    fn drain(&mut self, actions: &mut Vec<Action>) {
+        while self.saving.is_none() {
+            if !self.raw.has_ready() {
+                let Some(event) = self.waiting.pop_front() else { break };
+                self.take(event, actions);
+                continue;
+            }
+            let mut ready = self.raw.ready();
+            let sends = ready.take_messages();
+            self.send(&sends, actions);
+            let snapshot = Some(ready.snapshot()).filter(|snapshot| snapshot.get_metadata().index > 0);
+            let snapshot = snapshot.map(|snapshot| SnapshotKept {
+                index: snapshot.get_metadata().index,
+                term: snapshot.get_metadata().term,
+                data: snapshot.data.to_vec(),
+            });
+            let hard = ready.hs().map(|hs| Hard { term: hs.term, vote: hs.vote, commit: hs.commit });
+            let save = Save { hard, snapshot, entries: ready.entries().iter().map(of_entry).collect() };
+            if let Some(snapshot) = &save.snapshot {
+                actions.push(Action::Restore(snapshot.clone()));
+            }
+            let committed = ready.take_committed_entries();
+            apply(&committed, actions);
+            if save.is_empty() {
+                self.advance(ready, actions);
+                continue;
+            }
+            self.log.take(&save);
+            self.number += 1;
+            let number = self.number;
+            actions.push(Action::Save { number, save });
+            if ready.must_sync() {
+                self.saving = Some((number, ready));
+            } else {
+                // A commit alone is no promise: others hold the entries.
+                self.advance(ready, actions);
+            }
+        }
+        let now = (self.raw.raft.term, self.raw.raft.leader_id);
+        if now != self.leader {
+            self.leader = now;
+            actions.push(Action::Leader { term: now.0, leader: self.leader() });
+        }
+        let applied = self.raw.raft.raft_log.applied;
+        let first = raft::Storage::first_index(&self.log).unwrap_or(1);
+        if applied >= first + self.settings.compact_after && applied >= self.asked_to_compact {
+            self.asked_to_compact = applied + self.settings.compact_after / 4;
+            actions.push(Action::Compact);
+        }
+    }
+
+    fn saved(&mut self, number: u64, actions: &mut Vec<Action>) {
+        if let Some((_, ready)) = self.saving.take_if(|(saving, _)| *saving <= number) {
+            self.advance(ready, actions);
+        }
+    }
+
+    fn advance(&mut self, ready: Ready, actions: &mut Vec<Action>) {
+        let held = ready.persisted_messages().to_vec();
+        self.send(&held, actions);
+        let mut light = self.raw.advance(ready);
+        if let Some(commit) = light.commit_index() {
+            let hs = self.raw.raft.hard_state();
+            self.log
+                .take(&Save { hard: Some(Hard { term: hs.term, vote: hs.vote, commit }), ..Save::default() });
+        }
+        let sends = light.take_messages();
+        self.send(&sends, actions);
+        apply(light.committed_entries(), actions);
+        self.raw.advance_apply();
+    }
+
+    fn send(&self, messages: &[Message], actions: &mut Vec<Action>) {
+        for message in messages {
+            if let Some(bytes) = encode(message) {
+                actions.push(Action::Send { to: message.to, bytes });
+            }
+        }
+    }
+}
+
+fn apply(entries: &[raft::eraftpb::Entry], actions: &mut Vec<Action>) {
+    let commands = entries.iter().filter(|entry| !entry.data.is_empty());
+    actions.extend(commands.map(|entry| Action::Apply(of_entry(entry))));
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,11 +1,13 @@
 //! The fleet plane: what the processes of a fleet know of each other, and the agent that runs a node.
 //!
-//! [`membership`] and [`supervise`] are pure, as the node's decisions are: events and the time in, actions out.
+//! [`membership`], [`agreement`], [`duty`] and [`supervise`] are pure, as the node's decisions are: events and the time in, actions out.
 //! [`host`] does their I/O on tokio. Nothing here is on the way of a request, and the node knows nothing of it.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod agreement;
 pub mod config;
+pub mod duty;
 pub mod host;
 pub mod membership;
 pub mod supervise;
--- a/fleet/src/membership/core/swim.rs
+++ b/fleet/src/membership/core/swim.rs
@@ -105,7 +105,7 @@
             self.tick_at = now + interval;
             self.ticks += 1;
             // foca does not tell of refutations: they are looked for while there are suspects, and now and then.
-            self.dirty |= self.timers.has_suspects() || self.ticks % QUIET_TICKS == 0;
+            self.dirty |= self.timers.has_suspects() || self.ticks.is_multiple_of(QUIET_TICKS);
             self.tick(now, actions);
         }
         if matches!(self.phase, Phase::Leaving { until } if now >= until) {
--- a/lab/src/plane/mod.rs
+++ b/lab/src/plane/mod.rs
@@ -2,6 +2,7 @@
 //! them that can be made bad ([`real`]); [`measure`] puts both in figures. It drives the same rooms as the agent
 //! does, and decides nothing for them.
 
+pub mod duties;
 pub mod measure;
 pub mod real;
 pub mod virt;
--- a/lab/src/sim/mod.rs
+++ b/lab/src/sim/mod.rs
@@ -8,7 +8,7 @@
 
 mod links;
 mod node;
-mod queue;
+pub(crate) mod queue;
 mod run;
 mod trace;
 
--- a/lab/src/sim/queue.rs
+++ b/lab/src/sim/queue.rs
@@ -38,20 +38,30 @@
     nth: u64,
 }
 
+impl<T> Default for Queue<T> {
+    fn default() -> Self {
+        Queue::new()
+    }
+}
+
 impl<T> Queue<T> {
+    /// Nothing yet.
     pub fn new() -> Queue<T> {
         Queue { heap: BinaryHeap::new(), nth: 0 }
     }
 
+    /// Something that happens then.
     pub fn push(&mut self, at: Micros, what: T) {
         self.nth += 1;
         self.heap.push(Entry { at, nth: self.nth, what });
     }
 
+    /// When the next thing happens.
     pub fn next_at(&self) -> Option<Micros> {
         self.heap.peek().map(|entry| entry.at)
     }
 
+    /// Takes the next thing, with its time.
     pub fn pop(&mut self) -> Option<(Micros, T)> {
         self.heap.pop().map(|entry| (entry.at, entry.what))
     }
