Fleet: agents hold duties and bring servers out to every node; out, back, duties, voter-init

A voter without a sound store has no vote; voter-init makes one, once. Asks are answered yes once agreed, no at once without a majority and with the names missing, else as tried.

--- a/fleet/src/bin/woodgap-agent/cli.rs
+++ b/fleet/src/bin/woodgap-agent/cli.rs
@@ -34,6 +34,19 @@
     ///
     /// Exit code 1 where the views of some differ and stay so.
     Members(Members),
+    /// Show who holds which duty, and the servers out
+    Duties(Members),
+    /// Take a server out of all nodes
+    ///
+    /// Exit code 0 once a majority of the voters keeps it; 1 where nothing was changed; 2 where it was tried and is not
+    /// known: asking again is harmless.
+    Out(Out),
+    /// Put a server back; exit codes as of `out`
+    Back(Back),
+    /// Make the empty store of a voter, once in its life
+    ///
+    /// A voter that lost its store may have voted in a term that it does not remember: it must not get a new one.
+    VoterInit(File),
     /// Print a script that completes this command line in a shell
     Completions(Completions),
 }
@@ -64,6 +77,31 @@
     pub json: bool,
 }
 
+#[derive(Debug, Args)]
+pub struct Out {
+    #[command(flatten)]
+    pub at: At,
+    /// The server's id, as on discovery's list
+    pub server: String,
+    /// Why, for others
+    #[arg(long)]
+    pub why: String,
+    /// For how long, with a unit; until it is put back without
+    #[arg(long, value_name = "SPAN", value_parser = humantime::parse_duration)]
+    pub until: Option<std::time::Duration>,
+    /// Who says so [default: $USER]
+    #[arg(long)]
+    pub who: Option<String>,
+}
+
+#[derive(Debug, Args)]
+pub struct Back {
+    #[command(flatten)]
+    pub at: At,
+    /// The server's id, as on discovery's list
+    pub server: String,
+}
+
 #[derive(Debug, Args)]
 pub struct Completions {
     /// Which shell
--- /dev/null
+++ b/fleet/src/bin/woodgap-agent/duties.rs
@@ -0,0 +1,117 @@
+//! Staff's calls about duties and servers out.
+
+use std::error::Error;
+use std::fmt::Write;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use comfy_table::presets::NOTHING;
+use comfy_table::Table;
+use hyper::Method;
+use woodgap_fleet::config::Config;
+use woodgap_fleet::duty::desk::{Answer, DeskReport};
+use woodgap_fleet::host::{http, VOTES};
+use woodgap_fleet::membership::Name;
+use woodgap_fleet::store::VoteStore;
+
+use crate::cli::{At, Back, Out};
+use crate::{address, print, runtime, NO, USELESS};
+
+/// An ask is answered by then: the agent gives it up before.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+pub fn show(at: &At, json: bool) -> Result<ExitCode, Box<dyn Error>> {
+    let addr = address(at)?;
+    let (status, body) = runtime()?
+        .block_on(http::call(addr, Method::GET, "/duties"))
+        .map_err(|error| format!("{addr}: {error}"))?;
+    if status != 200 {
+        return Err(format!("{addr}: answered {status}").into());
+    }
+    let report: DeskReport = serde_json::from_slice(&body).map_err(|error| format!("{addr}: {error}"))?;
+    if json {
+        return print(&format!("{}\n", serde_json::to_string_pretty(&report)?));
+    }
+    print(&table(&report)?)
+}
+
+fn names(names: &[Name]) -> String {
+    names.iter().map(Name::as_str).collect::<Vec<_>>().join(", ")
+}
+
+fn table(report: &DeskReport) -> Result<String, Box<dyn Error>> {
+    let mut duties = Table::new();
+    duties.load_style(NOTHING);
+    duties.set_header(["DUTY", "HOLDER", "TOKEN", "LEASE HERE"]);
+    for duty in &report.duties {
+        let holder = duty.holder.as_ref().map_or("-", Name::as_str).to_owned();
+        let lease = if duty.lease_ms > 0 { format!("{} ms", duty.lease_ms) } else { "-".to_owned() };
+        duties.add_row([format!("{:?}", duty.duty).to_lowercase(), holder, duty.token.to_string(), lease]);
+    }
+    let mut text: String = duties.lines().map(|line| format!("{}\n", line.trim_end())).collect();
+    let leader = report.leader.as_ref().map_or("not known here", Name::as_str);
+    writeln!(text, "\nvoters {}; leader {leader}; entry {}", names(&report.voters), report.index)?;
+    if !report.missing.is_empty() {
+        writeln!(text, "voters missing: {}", names(&report.missing))?;
+    }
+    if !report.votes {
+        writeln!(text, "this agent has no vote: it shows what was brought to it")?;
+    }
+    for (server, out) in &report.out {
+        let until = out.until_ms.map_or("put back".to_owned(), |at| {
+            humantime::format_rfc3339_seconds(UNIX_EPOCH + Duration::from_millis(at)).to_string()
+        });
+        writeln!(text, "out: {server} until {until}, by {}: {}", out.who, out.why)?;
+    }
+    if report.refused > 0 {
+        writeln!(text, "{} late acts of deposed holders were refused here", report.refused)?;
+    }
+    Ok(text)
+}
+
+pub fn out(out: &Out) -> Result<ExitCode, Box<dyn Error>> {
+    let who = out.who.clone().or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "staff".into());
+    let mut query = form_urlencoded::Serializer::new(String::new());
+    query.append_pair("server", &out.server).append_pair("who", &who).append_pair("why", &out.why);
+    if let Some(span) = out.until {
+        let until = (SystemTime::now() + span).duration_since(UNIX_EPOCH)?.as_millis();
+        query.append_pair("until_ms", &until.to_string());
+    }
+    ask(&out.at, &format!("/out?{}", query.finish()))
+}
+
+pub fn back(back: &Back) -> Result<ExitCode, Box<dyn Error>> {
+    let query = form_urlencoded::Serializer::new(String::new()).append_pair("server", &back.server).finish();
+    ask(&back.at, &format!("/back?{query}"))
+}
+
+fn ask(at: &At, path: &str) -> Result<ExitCode, Box<dyn Error>> {
+    let addr = address(at)?;
+    let call = http::call_within(PATIENCE, addr, Method::POST, path);
+    let (status, body) = runtime()?.block_on(call).map_err(|error| format!("{addr}: {error}"))?;
+    let answer: Answer = serde_json::from_slice(&body)
+        .map_err(|_| format!("{addr}: answered {status}: {}", String::from_utf8_lossy(&body).trim()))?;
+    match answer {
+        Answer::Done => print("agreed\n"),
+        Answer::Refused(why) => {
+            eprintln!("woodgap-agent: nothing was changed: {why}");
+            Ok(ExitCode::from(NO))
+        }
+        Answer::Tried(why) => {
+            eprintln!("woodgap-agent: tried, and not known whether it holds: {why}");
+            Ok(ExitCode::from(USELESS))
+        }
+    }
+}
+
+pub fn voter_init(path: &Path) -> Result<ExitCode, Box<dyn Error>> {
+    let config = Config::load(path)?;
+    if !config.duties.voters.contains(&config.name) {
+        return Err(format!("{}: {} is not among the voters", path.display(), config.name).into());
+    }
+    std::fs::create_dir_all(&config.state_dir)?;
+    let votes = config.state_dir.join(VOTES);
+    VoteStore::create(&votes).map_err(|error| format!("{}: {error}", votes.display()))?;
+    print(&format!("made {}\n", votes.display()))
+}
--- a/fleet/src/bin/woodgap-agent/main.rs
+++ b/fleet/src/bin/woodgap-agent/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod cli;
+mod duties;
 mod members;
 
 use std::error::Error;
@@ -34,6 +35,10 @@
         Command::Check(file) => check(&file.config),
         Command::Example => print(EXAMPLE),
         Command::Members(members) => show(&members.at, members.json),
+        Command::Duties(duties) => duties::show(&duties.at, duties.json),
+        Command::Out(out) => duties::out(out),
+        Command::Back(back) => duties::back(back),
+        Command::VoterInit(file) => duties::voter_init(&file.config),
         Command::Completions(shell) => {
             clap_complete::generate(shell.shell, &mut Cli::command(), "woodgap-agent", &mut io::stdout());
             Ok(ExitCode::SUCCESS)
--- a/fleet/src/config/mod.rs
+++ b/fleet/src/config/mod.rs
@@ -5,12 +5,14 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
+use std::time::Duration;
 
 use toml::de::DeTable;
 
 pub use reader::Fault;
 use reader::{Reader, Section};
 
+use crate::duty::Lease;
 use crate::membership::{self, Name};
 use crate::supervise;
 
@@ -80,6 +82,19 @@
     pub supervise: supervise::Settings,
 }
 
+/// Who votes, and the duties' windows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Duties {
+    /// Names of the voters; empty for a fleet without duties.
+    pub voters: Vec<Name>,
+    /// Leases.
+    pub lease: Lease,
+    /// The agreed log's step: a leader's heartbeat.
+    pub tick: Duration,
+    /// Steps without a leader before an election.
+    pub election_ticks: usize,
+}
+
 /// All of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -101,6 +116,8 @@
     pub membership: membership::Settings,
     /// Where staff call.
     pub operators: SocketAddr,
+    /// The duties.
+    pub duties: Duties,
     /// The node, if it runs one.
     pub node: Option<Node>,
     /// How log lines look.
@@ -150,6 +167,9 @@
     let staff = root.section("operators");
     let operators = staff.required("listen", staff.parsed("listen"));
     staff.finish();
+    let agreed = root.section("duties");
+    let duties = duties(&agreed);
+    agreed.finish();
     let own = root.section("node");
     let node = if own.is_there() { Some(node(&own)) } else { None };
     own.finish();
@@ -172,6 +192,7 @@
         seeds,
         membership,
         operators: operators?,
+        duties,
         node,
         log_format,
         log_level,
@@ -224,6 +245,37 @@
     settings
 }
 
+fn duties(agreed: &Section<'_, '_>) -> Duties {
+    let usual = Lease::default();
+    let voters: Vec<Name> = agreed.list("voters").unwrap_or_default();
+    let distinct: std::collections::BTreeSet<&Name> = voters.iter().collect();
+    if distinct.len() < voters.len() {
+        agreed.wrong("voters", None, "names one twice");
+    }
+    if voters.len() > 7 {
+        agreed.wrong("voters", None, "must be 7 at most: 3 or 5 are usual");
+    }
+    let lease = Lease {
+        span: agreed.span("lease").unwrap_or(usual.span),
+        drift: agreed.number("drift").unwrap_or(usual.drift),
+    };
+    if !(0.0..=0.5).contains(&lease.drift) {
+        agreed.wrong("drift", None, "must be 0 to 0.5");
+    }
+    let tick = agreed.span("tick").unwrap_or(Duration::from_millis(100));
+    let election_ticks = agreed.number("election-ticks").unwrap_or(10);
+    if tick < Duration::from_millis(10) {
+        agreed.wrong("tick", None, "must be 10ms or more");
+    }
+    if !(3..=100).contains(&election_ticks) {
+        agreed.wrong("election-ticks", None, "must be 3 to 100");
+    }
+    if lease.span < tick * 3 {
+        agreed.wrong("lease", None, "must be three ticks or more");
+    }
+    Duties { voters, lease, tick, election_ticks }
+}
+
 fn node(own: &Section<'_, '_>) -> Option<Node> {
     let command: Option<Vec<String>> = own.required("command", own.list("command"));
     if command.as_ref().is_some_and(|command| command.first().is_none_or(String::is_empty)) {
@@ -254,7 +306,7 @@
     if supervise.backoff.is_zero() || supervise.backoff > supervise.backoff_most {
         own.wrong("backoff", None, "must be above 0 and not above backoff-most");
     }
-    if supervise.status_interval < std::time::Duration::from_millis(10) {
+    if supervise.status_interval < Duration::from_millis(10) {
         own.wrong("status-interval", None, "must be 10ms or more");
     }
     Some(Node {
@@ -299,8 +351,8 @@
             "line 4: name: 'n 1' is no name",
             "line 6: zonne: no such key, did you mean 'zone'?",
             "line 14: membership.probe-timeout: must be below half",
-            "line 30: node.operators: is missing",
-            "line 35: node.backoff: must be a text, is a integer",
+            "line 37: node.operators: is missing",
+            "line 42: node.backoff: must be a text, is a integer",
         ];
         for want in wanted {
             assert!(told.iter().any(|fault| fault.starts_with(want)), "{want}: {told:#?}");
--- a/fleet/src/duty/fence.rs
+++ b/fleet/src/duty/fence.rs
@@ -8,7 +8,7 @@
 use super::Duty;
 
 /// An act under a token that is not the newest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 #[error("token {token} is not the newest: {seen} has been seen")]
 pub struct Stale {
     /// The act's.
--- a/fleet/src/duty/holder.rs
+++ b/fleet/src/duty/holder.rs
@@ -32,6 +32,11 @@
         self.until.get(&duty).filter(|(_, until)| now < *until).map(|(token, _)| *token)
     }
 
+    /// How much longer this process may act.
+    pub fn left(&self, now: Micros, duty: Duty) -> Micros {
+        self.until.get(&duty).map_or(0, |(_, until)| until.saturating_sub(now))
+    }
+
     /// When it is to ask again.
     pub fn next_ask(&self) -> Micros {
         self.next_ask
--- a/fleet/src/duty/mod.rs
+++ b/fleet/src/duty/mod.rs
@@ -1,6 +1,7 @@
 //! Duties that only one process holds: what is agreed about them, when a holder may act, when its duty may be given
 //! on, and the fence at whoever is acted on. Pure: fed by agreed entries and time.
 
+pub mod desk;
 mod fence;
 mod holder;
 mod keeper;
--- /dev/null
+++ b/fleet/src/host/duties.rs
@@ -0,0 +1,125 @@
+//! Carries out what the desk wants: messages between voters, calls to other agents, answers, acts on this node.
+
+use tracing::{info, warn};
+
+use super::desk::Asker;
+use super::{membership, wire, Host, Msg};
+use crate::duty::desk::{self as duty, Answer};
+use crate::membership::{ConnId, Name, Stream};
+
+impl Host {
+    /// Something came from another agent for the duties.
+    pub(super) fn pass(&mut self, conn: Option<ConnId>, stream: Stream) {
+        let answer = conn.and_then(|conn| self.conns.remove(&conn));
+        match (stream, answer) {
+            (Stream::Agreed(bytes), _) => self.duty(duty::Event::Message(bytes)),
+            (Stream::Ask(what), Some(answer)) => {
+                let ask = self.desk.asker(Asker::Call(answer));
+                self.duty(duty::Event::Ask { ask, what });
+            }
+            (Stream::Act(act), Some(answer)) => {
+                let ask = self.desk.asker(Asker::Call(answer));
+                self.duty(duty::Event::Act { ask, act });
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn duty(&mut self, event: duty::Event) {
+        let mut actions = Vec::new();
+        self.desk.desk.on_event(self.clock.now(), event, &mut actions);
+        for action in actions {
+            match action {
+                duty::Action::Send { to, bytes } => self.send_voter(&to, bytes),
+                duty::Action::Save { number, save } => self.desk.save(number, save),
+                duty::Action::Forward { ask, to, what } => self.call(&to, Stream::Ask(what), move |stream| {
+                    let answer = match stream {
+                        Some(Stream::Told(answer)) => Some(answer),
+                        _ => None,
+                    };
+                    Some(duty::Event::Forwarded { ask, answer })
+                }),
+                duty::Action::Act { to, act } => {
+                    let (name, version) = (to.clone(), act.version);
+                    self.call(&to, Stream::Act(act), move |stream| {
+                        let answer = match stream {
+                            Some(Stream::Acted(answer)) => Some(answer),
+                            _ => None,
+                        };
+                        Some(duty::Event::Acted { to: name, version, answer })
+                    });
+                }
+                duty::Action::Answer { ask, answer } => self.answer(ask, answer),
+                duty::Action::Enforce { ask, act, fence } => match self.desk.enforce(&act, fence) {
+                    Ok(()) => self.reply(ask, Stream::Acted(Ok(()))),
+                    // Not answered: the holder tries again.
+                    Err(error) => {
+                        warn!(%error, "an act can't be carried out");
+                        drop(self.desk.asked(ask));
+                    }
+                },
+                duty::Action::Refuse { ask, stale } => {
+                    warn!(token = stale.token, seen = stale.seen, "an act of a deposed holder was refused");
+                    self.reply(ask, Stream::Acted(Err(stale)));
+                }
+                duty::Action::Moved { duty, to, token } => {
+                    let to = to.as_ref().map_or("nobody", Name::as_str);
+                    info!(?duty, to, token, "duty");
+                }
+                duty::Action::Leader { term, leader } => {
+                    let leader = leader.as_ref().map_or("nobody", Name::as_str);
+                    info!(term, leader, "leader of the agreed log");
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, ask: u64, answer: Answer) {
+        match self.desk.asked(ask) {
+            // Who asked may have gone.
+            Some(Asker::Staff(staff)) => drop(staff.send(answer)),
+            Some(Asker::Call(call)) => drop(call.send(self.core.seal(&Stream::Told(answer)))),
+            None => {}
+        }
+    }
+
+    fn reply(&mut self, ask: u64, stream: Stream) {
+        if let Some(Asker::Call(call)) = self.desk.asked(ask) {
+            // Who called may have gone.
+            let _ = call.send(self.core.seal(&stream));
+        }
+    }
+
+    fn send_voter(&mut self, to: &Name, bytes: Vec<u8>) {
+        let mut actions = Vec::new();
+        if self.core.post_agreed(to, &bytes, &mut actions).is_none() {
+            // Too long for a datagram; a voter that is not present gets nothing.
+            self.call(to, Stream::Agreed(bytes), |_| None);
+        }
+        for action in actions {
+            if let membership::Action::Send { to, bytes } = action {
+                if self.udp.try_send_to(&bytes, to).is_err() {
+                    self.unsent += 1;
+                }
+            }
+        }
+    }
+
+    /// Calls another agent; what it says becomes an event, and so does its silence.
+    fn call<F>(&mut self, to: &Name, stream: Stream, event: F)
+    where
+        F: FnOnce(Option<Stream>) -> Option<duty::Event> + 'static,
+    {
+        let Some(addr) = self.core.view().get(to).map(|entry| entry.identity.addr) else { return };
+        let (from, tx, bytes) = (self.config.listen.ip(), self.tx.clone(), self.core.seal(&stream));
+        let fleet = self.core.fleet();
+        tokio::task::spawn_local(async move {
+            let answer = wire::call(from, addr, bytes).await;
+            let stream = answer.and_then(|bytes| Stream::decode(&bytes, fleet).ok());
+            // The main task has ended where nobody takes it.
+            if let Some(event) = event(stream) {
+                let _ = tx.send(Msg::Desk(event)).await;
+            }
+        });
+    }
+}
--- a/fleet/src/host/http.rs
+++ b/fleet/src/host/http.rs
@@ -29,13 +29,23 @@
     /// Longer than the bound, or broken off.
     #[error("the answer is too long or broken off")]
     Body,
-    /// None within [`PATIENCE`].
-    #[error("no answer within a second")]
+    /// None in time.
+    #[error("no answer in time")]
     Late,
 }
 
 /// Makes a call: the status and the body.
 pub async fn call(addr: SocketAddr, method: Method, path: &str) -> Result<(u16, Bytes), CallError> {
+    call_within(PATIENCE, addr, method, path).await
+}
+
+/// As [`call`], with another patience.
+pub async fn call_within(
+    patience: Duration,
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+) -> Result<(u16, Bytes), CallError> {
     let ask = async {
         let stream = TcpStream::connect(addr).await?;
         let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
@@ -61,5 +71,5 @@
             }
         }
     };
-    timeout(PATIENCE, ask).await.map_err(|_| CallError::Late)?
+    timeout(patience, ask).await.map_err(|_| CallError::Late)?
 }
--- a/fleet/src/host/mod.rs
+++ b/fleet/src/host/mod.rs
@@ -2,6 +2,8 @@
 //! handed to the pure rooms, and what they want is carried out.
 
 mod clock;
+mod desk;
+mod duties;
 mod figures;
 pub mod http;
 mod node;
@@ -23,13 +25,18 @@
 use tracing::{info, warn};
 
 use crate::config::Config;
+use crate::duty::desk::{self as duty, Answer, DeskReport};
+use crate::duty::What;
 use crate::membership::{
     self, CallId, ConnId, Membership, NodeState, Record, Report, Start, LONGEST_DATAGRAM,
 };
 use crate::supervise::{self, Supervisor};
 use crate::Micros;
 use clock::Clock;
+pub use desk::VOTES;
+use desk::{Asker, DeskHost};
 use node::NodeHost;
+pub use pidfile::{PidFile, Running};
 
 /// Messages between the tasks, at most: what waits longer for the main task is turned away.
 const QUEUE: usize = 256;
@@ -84,6 +91,12 @@
     Node(supervise::Event),
     /// Staff ask for the fleet.
     Report(oneshot::Sender<Box<Report>>),
+    /// The voter's store, or an act that came to its end.
+    Desk(duty::Event),
+    /// Staff ask for the duties.
+    Duties(oneshot::Sender<Box<DeskReport>>),
+    /// Staff ask for something to be agreed on.
+    Ask { what: What, answer: oneshot::Sender<Answer> },
     /// Staff ask for the figures.
     Figures(oneshot::Sender<String>),
 }
@@ -93,6 +106,7 @@
     clock: Clock,
     core: Membership,
     supervisor: Supervisor,
+    desk: DeskHost,
     node: Option<NodeHost>,
     node_state: NodeState,
     udp: UdpSocket,
@@ -117,7 +131,9 @@
     tokio::task::spawn_local(wire::accept(calls, tx.clone()));
     tokio::task::spawn_local(operators::accept(staff, tx.clone()));
     let clock = Clock::start();
-    let core = Membership::new(config.membership.clone(), start_of(&config));
+    let start = start_of(&config);
+    let desk = DeskHost::new(&config, start.record.process, clock.now(), tx.clone())?;
+    let core = Membership::new(config.membership.clone(), start);
     let node = match &config.node {
         Some(node) => Some(NodeHost::new(&config, node.clone(), tx.clone())?),
         None => None,
@@ -129,6 +145,7 @@
         clock,
         core,
         supervisor: Supervisor::new(supervise),
+        desk,
         node,
         node_state: NodeState::Stopped,
         udp,
@@ -151,7 +168,7 @@
         if let Some(exit) = host.ended.take() {
             return Ok(exit);
         }
-        let next = host.core.next_wake().min(host.supervisor.next_wake());
+        let next = host.core.next_wake().min(host.supervisor.next_wake()).min(host.desk.desk.next_wake());
         tokio::select! {
             _ = host.udp.readable() => {}
             Some(msg) = rx.recv() => host.message(msg),
@@ -206,6 +223,9 @@
         if now >= self.supervisor.next_wake() {
             self.supervise(supervise::Event::Wake);
         }
+        if now >= self.desk.desk.next_wake() {
+            self.duty(DeskHost::wake());
+        }
     }
 
     fn message(&mut self, msg: Msg) {
@@ -228,6 +248,12 @@
                 }
                 self.supervise(event);
             }
+            Msg::Desk(event) => self.duty(event),
+            Msg::Duties(answer) => drop(answer.send(Box::new(self.desk.desk.report(self.clock.now())))),
+            Msg::Ask { what, answer } => {
+                let ask = self.desk.asker(Asker::Staff(answer));
+                self.duty(duty::Event::Ask { ask, what });
+            }
             // Who asked may have gone.
             Msg::Report(answer) => drop(answer.send(Box::new(self.core.report(self.clock.now())))),
             Msg::Figures(answer) => drop(answer.send(self.figures())),
@@ -256,6 +282,7 @@
         let mut actions = Vec::new();
         let now: Micros = self.clock.now();
         self.core.on_event(now, event, &mut actions);
+        let mut changed = false;
         for action in actions {
             match action {
                 membership::Action::Send { to, bytes } => {
@@ -277,7 +304,11 @@
                         let _ = answer.send(bytes);
                     }
                 }
-                membership::Action::Tell(change) => tell::change(&self.config.name, &change),
+                membership::Action::Pass { conn, stream } => self.pass(conn, *stream),
+                membership::Action::Tell(change) => {
+                    tell::change(&self.config.name, &change);
+                    changed = true;
+                }
                 membership::Action::Refused(holder) => {
                     warn!(name = %self.config.name, holder = %holder.addr, started_ms = holder.started_ms,
                         "refused: an older process holds this name");
@@ -286,6 +317,15 @@
                 membership::Action::Gone => self.ended = Some(Exit::Left),
             }
         }
+        if changed {
+            let present = self.core.view().present().map(|entry| duty::Member {
+                name: entry.identity.name.clone(),
+                process: entry.identity.process,
+                zone: entry.record.as_ref().map(|record| record.zone.clone()).unwrap_or_default(),
+            });
+            let members = present.collect();
+            self.duty(duty::Event::Members(members));
+        }
     }
 
     fn refused(&mut self, holder: Box<Record>) {
--- a/fleet/src/host/operators.rs
+++ b/fleet/src/host/operators.rs
@@ -1,8 +1,9 @@
 //! Owns staff's address: routes each call to the main task, which owns the facts.
 
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -17,11 +18,13 @@
 use tokio::time::{sleep, timeout};
 
 use super::Msg;
+use crate::duty::desk::Answer;
+use crate::duty::{Out, What};
 
 /// Callers at a time; more wait in the socket's queue, and none for longer than [`STUCK`] each.
 const CALLERS: usize = 8;
-/// A caller waits a second; one that is here for longer is stuck.
-const STUCK: Duration = Duration::from_millis(1_500);
+/// One that is here for longer is stuck: an ask waits for the agreed log.
+const STUCK: Duration = Duration::from_secs(5);
 const LONGEST_HEAD: usize = 8 * 1024;
 
 type Reply = Response<Full<Bytes>>;
@@ -54,27 +57,85 @@
 }
 
 async fn answer(request: Request<Incoming>, tx: mpsc::Sender<Msg>) -> Reply {
-    let path = request.uri().path();
-    if !matches!(path, "/status" | "/fleet" | "/metrics") {
-        return reply(StatusCode::NOT_FOUND, "no such call\n", "text/plain");
-    }
-    if request.method() != Method::GET {
-        let mut refusal = reply(StatusCode::METHOD_NOT_ALLOWED, "GET\n", "text/plain");
-        refusal.headers_mut().insert(ALLOW, HeaderValue::from_static("GET"));
+    let wanted = match request.uri().path() {
+        "/status" | "/fleet" | "/metrics" | "/duties" => Method::GET,
+        "/out" | "/back" => Method::POST,
+        _ => return reply(StatusCode::NOT_FOUND, "no such call\n", "text/plain"),
+    };
+    if request.method() != wanted {
+        let mut refusal = reply(StatusCode::METHOD_NOT_ALLOWED, format!("{wanted}\n"), "text/plain");
+        if let Ok(value) = HeaderValue::from_str(wanted.as_str()) {
+            refusal.headers_mut().insert(ALLOW, value);
+        }
         return refusal;
     }
-    match path {
+    match request.uri().path() {
         "/status" => reply(StatusCode::OK, "runs\n", "text/plain"),
-        "/fleet" => match ask(&tx, Msg::Report).await.map(|report| serde_json::to_vec(&report)) {
-            Some(Ok(json)) => reply(StatusCode::OK, json, "application/json"),
-            _ => busy(),
-        },
-        _ => match ask(&tx, Msg::Figures).await {
+        "/fleet" => json(ask(&tx, Msg::Report).await),
+        "/duties" => json(ask(&tx, Msg::Duties).await),
+        "/metrics" => match ask(&tx, Msg::Figures).await {
             Some(text) => {
                 reply(StatusCode::OK, text, "application/openmetrics-text; version=1.0.0; charset=utf-8")
             }
             None => busy(),
         },
+        path => {
+            let what = asked(path, request.uri().query().unwrap_or(""));
+            match what {
+                Ok(what) => agreed(ask(&tx, |answer| Msg::Ask { what, answer }).await),
+                Err(wrong) => reply(StatusCode::BAD_REQUEST, format!("{wrong}\n"), "text/plain"),
+            }
+        }
+    }
+}
+
+/// What staff ask for: `/out?server=ID&who=..&why=..&until_ms=..` or `/back?server=ID`.
+fn asked(path: &str, query: &str) -> Result<What, String> {
+    let mut fields: BTreeMap<String, String> = BTreeMap::new();
+    for (key, value) in form_urlencoded::parse(query.as_bytes()) {
+        if fields.insert(key.clone().into_owned(), value.into_owned()).is_some() {
+            return Err(format!("{key} is said twice"));
+        }
+    }
+    let mut take = |key: &str, most: usize| {
+        let value = fields.remove(key).unwrap_or_default();
+        if value.len() > most {
+            return Err(format!("{key} is longer than {most} bytes"));
+        }
+        Ok(value)
+    };
+    let server = take("server", 128)?;
+    if server.is_empty() {
+        return Err("server names none".into());
+    }
+    if path == "/back" {
+        return Ok(What::Back { server });
+    }
+    let (who, why, until) = (take("who", 64)?, take("why", 200)?, take("until_ms", 20)?);
+    let until_ms = match until.as_str() {
+        "" => None,
+        text => Some(text.parse().map_err(|_| format!("until_ms: '{text}' is no time in milliseconds"))?),
+    };
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Ok(What::Out { server, out: Out { who, why, since_ms: since.as_millis() as u64, until_ms } })
+}
+
+/// 200 yes, 409 no and nothing was changed, 503 tried and not known.
+fn agreed(answer: Option<Answer>) -> Reply {
+    let Some(answer) = answer else { return busy() };
+    let status = match &answer {
+        Answer::Done => StatusCode::OK,
+        Answer::Refused(_) => StatusCode::CONFLICT,
+        Answer::Tried(_) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let text = serde_json::to_vec(&answer).unwrap_or_default();
+    reply(status, text, "application/json")
+}
+
+fn json<T: serde::Serialize>(value: Option<T>) -> Reply {
+    match value.map(|value| serde_json::to_vec(&value)) {
+        Some(Ok(text)) => reply(StatusCode::OK, text, "application/json"),
+        _ => busy(),
     }
 }
 
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod duty;
 pub mod host;
 pub mod membership;
+pub mod store;
 pub mod supervise;
 
 /// Microseconds on the caller's monotonic clock.
--- a/fleet/src/membership/core/exchange.rs
+++ b/fleet/src/membership/core/exchange.rs
@@ -62,7 +62,10 @@
         self.counts.calls_in += 1;
         let answer = match Stream::decode(bytes, self.fleet) {
             Err(fault) => return self.counts.drop(fault),
-            Ok(Stream::Held(_)) => return,
+            Ok(Stream::Held(_) | Stream::Told(_) | Stream::Acted(_)) => return,
+            Ok(stream @ (Stream::Agreed(_) | Stream::Ask(_) | Stream::Act(_))) => {
+                return actions.push(Action::Pass { conn: Some(conn), stream: Box::new(stream) });
+            }
             Ok(Stream::Sync(whole)) => {
                 // Its answer is what this agent held before: the caller compares the two.
                 let answer = Stream::Sync(self.whole());
--- a/fleet/src/membership/core/mod.rs
+++ b/fleet/src/membership/core/mod.rs
@@ -16,7 +16,7 @@
 use super::digest::Digests;
 use super::foca_port::{Collector, Port};
 use super::health::Health;
-use super::message::{fleet_id, Counts, Datagram, Word, ENVELOPE, LONGEST_DATAGRAM};
+use super::message::{fleet_id, Counts, Datagram, Stream, Word, ENVELOPE, LONGEST_DATAGRAM};
 use super::presence::Quorum;
 use super::reach::Reach;
 use super::report::{Agreement, DifferingPeer, MemberReport, Report};
@@ -106,6 +106,13 @@
         /// What.
         bytes: Vec<u8>,
     },
+    /// Something came for the duties, with the call to answer where there is one.
+    Pass {
+        /// Whose call.
+        conn: Option<ConnId>,
+        /// What it says.
+        stream: Box<Stream>,
+    },
     /// Something changed, for logs.
     Tell(Change),
     /// An older process holds this name: the agent is to end.
@@ -232,7 +239,7 @@
         }
         match event {
             Event::Start => self.start(now, actions),
-            Event::Datagram(bytes) => self.datagram(now, &bytes),
+            Event::Datagram(bytes) => self.datagram(now, &bytes, actions),
             Event::Called { conn, bytes } => self.called(now, conn, &bytes, actions),
             Event::Answered { call, bytes } => self.answered(now, call, &bytes, actions),
             Event::CallFailed(call) => self.call_failed(now, call, actions),
@@ -279,6 +286,29 @@
         self.digests.agreed_since().map(|since| now.saturating_sub(since))
     }
 
+    /// A message of the duties' as bytes of a call.
+    pub fn seal(&self, stream: &Stream) -> Vec<u8> {
+        stream.encode(self.fleet)
+    }
+
+    /// The fleet as messages carry it.
+    pub fn fleet(&self) -> u64 {
+        self.fleet
+    }
+
+    /// Sends a voter's message: in a datagram, or `None` where it is too long for one or the voter is not present.
+    pub fn post_agreed(&mut self, to: &Name, bytes: &[u8], actions: &mut Vec<Action>) -> Option<()> {
+        let to = self.view.get(to).filter(|entry| entry.presence.is_present())?.identity.clone();
+        let datagram = Datagram {
+            digest: self.view.digest(),
+            payload: &[],
+            item: &[],
+            word: Word::Agreed(bytes.to_vec()),
+        };
+        let bytes = datagram.encode(super::FORMATS.newest, self.fleet);
+        (bytes.len() <= LONGEST_DATAGRAM).then(|| self.post(to.addr, bytes, actions))
+    }
+
     /// All that staff are told.
     pub fn report(&self, now: Micros) -> Report {
         let settle = micros(self.settings.settle);
--- a/fleet/src/membership/core/swim.rs
+++ b/fleet/src/membership/core/swim.rs
@@ -13,7 +13,7 @@
 const QUIET_TICKS: u64 = 10;
 
 impl Membership {
-    pub(super) fn datagram(&mut self, now: Micros, bytes: &[u8]) {
+    pub(super) fn datagram(&mut self, now: Micros, bytes: &[u8], actions: &mut Vec<Action>) {
         self.counts.datagrams_in += 1;
         self.counts.bytes_in += bytes.len() as u64;
         let datagram = match Datagram::decode(bytes, self.fleet, self.settings.formats) {
@@ -25,7 +25,7 @@
             let _ = self.foca.add_broadcast(datagram.item);
         }
         if self.phase != Phase::Joining {
-            self.word(datagram.word);
+            self.word(datagram.word, actions);
         }
         if datagram.payload.is_empty() {
             return;
@@ -48,9 +48,12 @@
         }
     }
 
-    fn word(&mut self, word: Word) {
+    fn word(&mut self, word: Word, actions: &mut Vec<Action>) {
         match word {
             Word::None => {}
+            Word::Agreed(bytes) => {
+                actions.push(Action::Pass { conn: None, stream: Box::new(Stream::Agreed(bytes)) })
+            }
             // Only of this life.
             Word::Accused { generation, incarnation, answer } if generation == self.me.generation => {
                 // foca refutes, unless a higher incarnation has done so already.
--- a/fleet/src/membership/message.rs
+++ b/fleet/src/membership/message.rs
@@ -8,6 +8,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Formats, Identity, Record};
+use crate::duty::desk::{Act, Answer};
+use crate::duty::Stale;
 
 /// The formats that this program reads. 1: view digest, SWIM payload, one broadcast. 2: also a word from member
 /// to member about a suspicion.
@@ -123,6 +125,8 @@
         /// Its incarnation by now.
         incarnation: u16,
     },
+    /// Between voters of the agreed log.
+    Agreed(Vec<u8>),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -178,6 +182,16 @@
     Claim(Record),
     /// The answer to a claim.
     Held(Record),
+    /// Between voters of the agreed log, where a datagram is too short. No answer.
+    Agreed(Vec<u8>),
+    /// An agent without a vote asks a voter, for its staff.
+    Ask(crate::duty::What),
+    /// The answer to that.
+    Told(Answer),
+    /// The holder of a duty acts on this agent.
+    Act(Act),
+    /// The answer to that.
+    Acted(Result<(), Stale>),
 }
 
 /// The fleet's name as messages carry it.
@@ -247,6 +261,8 @@
         let sound = match &stream {
             Stream::Sync(whole) => whole.from.fits() && whole.records.iter().all(Record::fits),
             Stream::Claim(record) | Stream::Held(record) => record.fits(),
+            // Their own rooms look into them.
+            _ => true,
         };
         if sound {
             Ok(stream)
--- a/lab/src/plane/real/mod.rs
+++ b/lab/src/plane/real/mod.rs
@@ -13,7 +13,9 @@
 
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use woodgap_fleet::duty::desk::{Answer, DeskReport};
 use woodgap_fleet::host::http::{self, CallError};
+use woodgap_fleet::host::PidFile;
 use woodgap_fleet::membership::{Presence, Report};
 
 pub use links::{Link, Links};
@@ -223,6 +225,28 @@
         serde_json::from_slice(&body).map_err(|_| CallError::Body)
     }
 
+    /// What it tells staff of the duties.
+    pub async fn duties(&self, agent: usize) -> Result<DeskReport, CallError> {
+        let (_, body) = http::call(self.operators(agent), http::Method::GET, "/duties").await?;
+        serde_json::from_slice(&body).map_err(|_| CallError::Body)
+    }
+
+    /// Staff ask it for something, as `/out?server=a`; `None` without an answer.
+    pub async fn ask(&self, agent: usize, path: &str) -> Option<Answer> {
+        let patience = Duration::from_secs(6);
+        let call = http::call_within(patience, self.operators(agent), http::Method::POST, path).await;
+        serde_json::from_slice(&call.ok()?.1).ok()
+    }
+
+    /// Makes the store of a voter, by the program itself.
+    pub fn voter_init(&self, agent: usize, seeds: &[usize], more: &str) {
+        let seeds: Vec<SocketAddr> = seeds.iter().map(|&seed| self.address(seed)).collect();
+        let config = self.configure(agent, &name(agent), &seeds, more);
+        let done = Command::new(&self.program).args(["voter-init", "--config"]).arg(config).output();
+        let done = done.expect("the agent's program starts");
+        assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    }
+
     /// How one sees another; `None` where it does not answer or knows nothing.
     pub async fn sees(&self, by: usize, of: usize) -> Option<Presence> {
         let report = self.report(by).await.ok()?;
@@ -283,6 +307,13 @@
     fn drop(&mut self) {
         for agent in 0..self.places.len() {
             self.kill(agent);
+            // An agent that is killed leaves its node to the next one; here there is none.
+            let state = self.places[agent].folder.join("state");
+            let node =
+                state.canonicalize().and_then(|state| PidFile::of(&state)).ok().and_then(|file| file.find());
+            if let Some(node) = node {
+                let _ = kill(Pid::from_raw(node.pid), Signal::SIGKILL);
+            }
         }
     }
 }
--- a/lab/src/plane/virt.rs
+++ b/lab/src/plane/virt.rs
@@ -337,6 +337,8 @@
                     self.later(at, Due::Answered { to, life, call, bytes });
                 }
             }
+            // Duties have a world of their own.
+            Action::Pass { .. } => {}
             Action::Tell(change) => self.told.push(Told { at: self.now, by: agent, change }),
             Action::Refused(_) => {
                 self.refused.push(agent);
