--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! Honeystep makes the decisions of an HTTP load balancer that runs as a bank of proxies.
+//! Woodgap makes the decisions of an HTTP load balancer that runs as a bank of proxies.
 //!
 //! A host feeds [`brain::Balancer`] the events of one proxy and carries out the actions it
 //! answers with. The module does no I/O and reads no clock, so the same events always give the
