Duties go past whoever let a lease lapse, and the two accept loops are one

Need: tried by hand with the default windows, a killed holder was given its duty back, as its death was not known yet: the duty stayed without a holder for another lease. And staff's and agents' listeners had the same loop twice.

Change: among candidates the process that let the lease lapse comes last; wire::each serves both listeners.

--- a/fleet/src/bin/woodgap-agent/members.rs
+++ b/fleet/src/bin/woodgap-agent/members.rs
@@ -45,7 +45,7 @@
     let present = &report.present;
     let _ = writeln!(
         text,
-        "fleet {}, as {} sees it: {} present, {} nodes serve",
+        "fleet {}, as {} sees it: {} present, nodes that serve: {}",
         report.fleet, report.me, present.members, present.nodes
     );
     let agreement = &report.agreement;
--- a/fleet/src/duty/keeper.rs
+++ b/fleet/src/duty/keeper.rs
@@ -78,7 +78,9 @@
             };
             let best = (0..load.len()).min_by_key(|&at| {
                 let (count, one) = load[at];
-                (count, zones(&one.zone, &load), one.name.clone())
+                // Who let a lease lapse may be dead and not known to be: it gets the duty back only where it is alone.
+                let lapsed = state.held.get(&duty).is_some_and(|held| held.process == one.process);
+                (lapsed, count, zones(&one.zone, &load), one.name.clone())
             });
             let Some(best) = best else { break };
             load[best].0 += 1;
--- a/fleet/src/host/operators.rs
+++ b/fleet/src/host/operators.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
@@ -13,11 +12,11 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, Semaphore};
-use tokio::time::{sleep, timeout};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 
-use super::Msg;
+use super::{wire, Msg};
 use crate::duty::desk::Answer;
 use crate::duty::{Out, What};
 
@@ -31,16 +30,9 @@
 
 /// Answers staff for as long as the agent lives.
 pub async fn accept(listener: TcpListener, tx: mpsc::Sender<Msg>) {
-    let places = Arc::new(Semaphore::new(CALLERS));
-    loop {
-        let Ok(place) = places.clone().acquire_owned().await else { return };
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(50)).await;
-            continue;
-        };
+    let serve = |stream: TcpStream| {
         let tx = tx.clone();
-        tokio::task::spawn_local(async move {
-            let _place = place;
+        async move {
             let service = service_fn(move |request| {
                 let tx = tx.clone();
                 async move { Ok::<_, Infallible>(answer(request, tx).await) }
@@ -52,8 +44,9 @@
                 .serve_connection(TokioIo::new(stream), service);
             // A caller that breaks off or dawdles is its own loss.
             let _ = timeout(STUCK, serve).await;
-        });
-    }
+        }
+    };
+    wire::each(listener, CALLERS, serve).await;
 }
 
 async fn answer(request: Request<Incoming>, tx: mpsc::Sender<Msg>) -> Reply {
--- a/fleet/src/host/wire.rs
+++ b/fleet/src/host/wire.rs
@@ -1,6 +1,7 @@
 //! Owns calls between agents: one a connection, bytes to the end each way, bounded in number, size and time. It reads
 //! nothing of what they say.
 
+use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -17,7 +18,7 @@
 
 /// A call and its answer, at most.
 const PATIENCE: Duration = Duration::from_secs(2);
-/// Calls taken at a time; more wait in the socket's queue.
+/// Calls taken at a time.
 const CALLERS: usize = 16;
 const BACKLOG: i32 = 128;
 
@@ -31,9 +32,25 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Takes calls for as long as the agent lives.
+/// Takes calls from other agents for as long as this one lives.
 pub async fn accept(listener: TcpListener, tx: mpsc::Sender<Msg>) {
-    let places = Arc::new(Semaphore::new(CALLERS));
+    let call = |stream| {
+        let tx = tx.clone();
+        async move {
+            // A caller that breaks off or dawdles is its own loss.
+            let _ = timeout(PATIENCE, serve(stream, tx)).await;
+        }
+    };
+    each(listener, CALLERS, call).await;
+}
+
+/// Serves each connection, so many at a time; more wait in the socket's queue.
+pub async fn each<F, S>(listener: TcpListener, most: usize, serve: F)
+where
+    F: Fn(TcpStream) -> S,
+    S: Future<Output = ()> + 'static,
+{
+    let places = Arc::new(Semaphore::new(most));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         let Ok((stream, _)) = listener.accept().await else {
@@ -41,11 +58,10 @@
             sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let tx = tx.clone();
+        let served = serve(stream);
         tokio::task::spawn_local(async move {
             let _place = place;
-            // A caller that breaks off or dawdles is its own loss.
-            let _ = timeout(PATIENCE, serve(stream, tx)).await;
+            served.await;
         });
     }
 }
