Lab: large fleets in virtual time start settled, so that 1,000 members can be measured

Need: a play of 1,000 members spent minutes on a thousand joins in one moment before anything was measured. Change: from 200 members on each join is answered by all the others at once.

--- a/fleet/src/membership/mod.rs
+++ b/fleet/src/membership/mod.rs
@@ -21,8 +21,8 @@
 pub use digest::{Difference, Peer};
 pub use identity::{Identity, Name, NameFault};
 pub use message::{
-    fleet_id, Counts, Datagram, Fault as MessageFault, Stream, Word, FORMATS, LONGEST_DATAGRAM,
-    LONGEST_STREAM,
+    fleet_id, Counts, Datagram, Fault as MessageFault, Row, RowState, Stream, Whole, Word, FORMATS,
+    LONGEST_DATAGRAM, LONGEST_STREAM,
 };
 pub use presence::Present;
 pub use record::{Formats, NodeState, Record};
--- a/lab/src/plane/measure.rs
+++ b/lab/src/plane/measure.rs
@@ -45,10 +45,21 @@
     }
 }
 
+/// Fleets from this size on do not join one by one.
+const LARGE: usize = 200;
+
+fn fleet(members: usize, seed: u64) -> Fleet {
+    if members < LARGE {
+        Fleet::whole(members, brisk(), Links::default(), seed)
+    } else {
+        Fleet::settled(members, brisk(), Links::default(), seed)
+    }
+}
+
 /// From a kill until all others call it failed, one play a seed.
 pub fn detection(members: usize, plays: u64) -> Spread {
     let span = |seed: u64| {
-        let mut fleet = Fleet::whole(members, brisk(), Links::default(), seed);
+        let mut fleet = fleet(members, seed);
         // Anywhere in a probe's round.
         fleet.run(seed * 37_003 % SECOND);
         let victim = (seed as usize * 7 + 3) % members;
@@ -74,7 +85,7 @@
 /// Members called failed though they ran, in so many hours of virtual time, an hour a seed.
 pub fn false_failures(members: usize, loss: f64, hours: u64) -> usize {
     let hour = |seed: u64| {
-        let mut fleet = Fleet::whole(members, brisk(), Links::default(), seed);
+        let mut fleet = fleet(members, seed);
         fleet.links.loss = loss;
         let mut falsely = 0;
         for _ in 0..60 {
@@ -90,7 +101,7 @@
 /// From the healing of a partition three to two, 20 s long, until all see the same again.
 pub fn healing(members: usize, plays: u64) -> Spread {
     let span = |seed: u64| {
-        let mut fleet = Fleet::whole(members, brisk(), Links::default(), seed);
+        let mut fleet = fleet(members, seed);
         let (one, other): (Vec<usize>, Vec<usize>) = (0..members).partition(|agent| agent % 5 < 3);
         fleet.links.part(&one, &other);
         fleet.run(20 * SECOND + seed * 37_003 % SECOND);
@@ -117,7 +128,7 @@
 
 /// Over so many seconds of virtual time, in one thread.
 pub fn cost(members: usize, seconds: u64) -> Cost {
-    let mut fleet = Fleet::whole(members, brisk(), Links::default(), 1);
+    let mut fleet = fleet(members, 1);
     fleet.run(20 * SECOND);
     let sums = |fleet: &Fleet| {
         let counts = (0..members).filter_map(|agent| fleet.core(agent)).map(|core| core.counts());
--- a/lab/src/plane/virt.rs
+++ b/lab/src/plane/virt.rs
@@ -9,8 +9,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use woodgap_fleet::membership::{
-    Action, CallId, Change, ConnId, Event, Formats, Membership, NodeState, Presence, Record, Settings, Start,
-    FORMATS,
+    fleet_id, Action, CallId, Change, ConnId, Event, Formats, Membership, NodeState, Presence, Record, Row,
+    RowState, Settings, Start, Stream, Whole, FORMATS,
 };
 use woodgap_fleet::Micros;
 
@@ -141,6 +141,48 @@
         fleet
     }
 
+    /// As [`Fleet::whole`], but each agent's join is answered by all the others at once: in a large fleet a thousand joins
+    /// in one moment cost more than all that is measured after them.
+    pub fn settled(agents: usize, settings: Settings, links: Links, seed: u64) -> Fleet {
+        let mut fleet = Fleet::new(agents, settings, links, seed);
+        let id = fleet_id(&fleet.settings.fleet);
+        let mut records = Vec::new();
+        for agent in 0..agents {
+            fleet.number += 1;
+            let record = fleet.record(agent, &name(agent), fleet.number, FORMATS);
+            let record = Record { generation: record.started_ms, version: 1, ..record };
+            fleet.place(agent, fleet.number, record.clone(), &[(agent + 1) % agents]);
+            records.push(record);
+        }
+        let mut all = Vec::new();
+        for agent in 0..agents {
+            let others =
+                || records.iter().enumerate().filter(|(at, _)| *at != agent).map(|(_, record)| record);
+            let row =
+                |record: &Record| Row { identity: record.identity(), incarnation: 0, state: RowState::Alive };
+            let from = records[(agent + 1) % agents].clone();
+            let (rows, records) = (others().map(row).collect(), others().cloned().collect());
+            let bytes = Stream::Sync(Whole { from, digest: 0, rows, records }).encode(id);
+            let Some(core) = &mut fleet.agents[agent].core else { continue };
+            let mut actions = Vec::new();
+            core.on_event(fleet.now, Event::Start, &mut actions);
+            if let Some(Action::Call { call, .. }) = actions.pop() {
+                core.on_event(fleet.now, Event::Answered { call, bytes }, &mut actions);
+            }
+            all.push((agent, actions));
+        }
+        for (agent, actions) in all {
+            actions.into_iter().for_each(|action| fleet.carry_out(agent, action));
+            fleet.wake(agent);
+        }
+        let limit = fleet.now + 60_000_000;
+        while !fleet.is_whole() && fleet.now < limit {
+            fleet.run(100_000);
+        }
+        fleet.told.clear();
+        fleet
+    }
+
     /// The time.
     pub fn now(&self) -> Micros {
         self.now
@@ -155,7 +197,13 @@
     pub fn start_as(&mut self, agent: usize, name: &str, seeds: &[usize], formats: Formats) {
         self.number += 1;
         let life = self.number;
-        let record = Record {
+        let record = self.record(agent, name, life, formats);
+        self.place(agent, life, record, seeds);
+        self.give(agent, Event::Start);
+    }
+
+    fn record(&self, agent: usize, name: &str, life: u64, formats: Formats) -> Record {
+        Record {
             name: name.parse().expect("the lab's names are names"),
             generation: 0,
             process: self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (life << 16) ^ agent as u64,
@@ -171,12 +219,14 @@
             left: false,
             formats,
             note: String::new(),
-        };
-        let settings = Settings { formats, ..self.settings.clone() };
+        }
+    }
+
+    fn place(&mut self, agent: usize, life: u64, record: Record, seeds: &[usize]) {
+        let settings = Settings { formats: record.formats, ..self.settings.clone() };
         let seeds = seeds.iter().copied().map(address).collect();
         let core = Membership::new(settings, Start { record, seeds, seed: self.seed ^ life.rotate_left(32) });
         self.agents[agent] = Agent { core: Some(core), life, wake: Micros::MAX, paused: None };
-        self.give(agent, Event::Start);
     }
 
     /// Ends an agent without a word.
