--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -75,13 +75,13 @@
     for &members in &plane.members {
         writeln!(out, "{members} members, a probe each 200 ms, virtual time")?;
         writeln!(out, "  death known by all   {}", ms(measure::detection(members, plane.plays)))?;
-        writeln!(out, "  agreed after healing {}", ms(measure::healing(members, plane.plays)))?;
         let cost = measure::cost(members, 60);
         writeln!(
             out,
             "  a member a second    {:.0} bytes, {:.1} datagrams, {:.0} us of the core",
             cost.bytes_out, cost.datagrams_out, cost.cpu_us
         )?;
+        writeln!(out, "  agreed after healing {}", ms(measure::healing(members, plane.plays)))?;
         for &loss in plane.loss.iter().filter(|_| plane.hours > 0) {
             let falsely = measure::false_failures(members, loss, plane.hours);
             let hours = plane.hours;
--- a/lab/src/plane/measure.rs
+++ b/lab/src/plane/measure.rs
@@ -126,10 +126,12 @@
     pub cpu_us: f64,
 }
 
-/// Over so many seconds of virtual time, in one thread.
+/// Over so many seconds of virtual time, ten at most in a large fleet, in one thread.
 pub fn cost(members: usize, seconds: u64) -> Cost {
     let mut fleet = fleet(members, 1);
-    fleet.run(20 * SECOND);
+    // The news of the joins are passed on for a while.
+    fleet.run(if members < LARGE { 20 * SECOND } else { 5 * SECOND });
+    let seconds = if members < LARGE { seconds } else { seconds.min(10) };
     let sums = |fleet: &Fleet| {
         let counts = (0..members).filter_map(|agent| fleet.core(agent)).map(|core| core.counts());
         counts.fold((0, 0), |(bytes, number), c| (bytes + c.bytes_out, number + c.datagrams_out))
