Fleet: one writer of whole files, one way to count spans, and no list that nobody reads

Need: a last reading found the pid file written by a twin of store::write_whole, spans counted by two functions, a fence read back from the disk just after it was written, a list of dropped messages that nothing read, and a check that says nothing.

--- a/fleet/src/agreement/voter.rs
+++ b/fleet/src/agreement/voter.rs
@@ -10,8 +10,8 @@
 use rand_pcg::Pcg64;
 
 use super::log::{of_entry, Hard, Item, Kept, Log, Save, SnapshotKept};
-use super::message::{decode, encode, Fault, LONGEST_COMMAND};
-use crate::Micros;
+use super::message::{decode, encode, LONGEST_COMMAND};
+use crate::{micros, Micros};
 
 /// Messages and proposals that wait while something is saved, at most: more are dropped, as a network may.
 const MOST_WAITING: usize = 1_024;
@@ -112,8 +112,6 @@
     waiting: VecDeque<Event>,
     leader: (u64, u64),
     asked_to_compact: u64,
-    /// Messages dropped, by what was wrong.
-    pub dropped: Vec<Fault>,
 }
 
 impl Voter {
@@ -145,7 +143,7 @@
         };
         let silent = slog::Logger::root(slog::Discard, slog::o!());
         let raw = RawNode::new(&config, log.clone(), &silent)?;
-        let wake = now + settings.tick.as_micros() as Micros;
+        let wake = now + micros(settings.tick);
         Ok(Voter {
             settings,
             raw,
@@ -156,7 +154,6 @@
             waiting: VecDeque::new(),
             leader: (0, 0),
             asked_to_compact: 0,
-            dropped: Vec::new(),
         })
     }
 
@@ -181,7 +178,7 @@
             Event::Saved(number) => self.saved(number, actions),
             Event::Wake => {
                 // Late is one step, not many: a paused voter may not run ahead of what it has not heard.
-                self.wake = now + self.settings.tick.as_micros() as Micros;
+                self.wake = now + micros(self.settings.tick);
                 if self.saving.is_none() {
                     self.raw.tick();
                 }
@@ -202,11 +199,10 @@
         match event {
             Event::Message(bytes) => {
                 let (me, voters) = (self.settings.me, &self.settings.voters);
-                match decode(&bytes, me, voters, self.log.last()) {
-                    // The crate refuses what is stale or out of place; that is the network's doing.
-                    Ok(message) => drop(self.raw.step(message)),
-                    Err(fault) if self.dropped.len() < MOST_WAITING => self.dropped.push(fault),
-                    Err(_) => {}
+                // What can't be read is dropped, as a network may: the sender tries again. What is stale or out of
+                // place, the crate refuses.
+                if let Ok(message) = decode(&bytes, me, voters, self.log.last()) {
+                    let _ = self.raw.step(message);
                 }
             }
             Event::Propose(data) => {
--- a/fleet/src/duty/keeper.rs
+++ b/fleet/src/duty/keeper.rs
@@ -52,9 +52,10 @@
     /// When a duty may be given, as far as known; `None` while this voter does not lead.
     pub fn free_at(&self, duty: Duty, state: &State) -> Option<Micros> {
         let since = self.since?;
-        let Some(held) = state.held.get(&duty) else { return Some(since) };
+        if !state.held.contains_key(&duty) {
+            return Some(since);
+        }
         let applied = self.seen.get(&duty).map_or(since, |(_, _, at)| *at);
-        debug_assert!(held.token > 0);
         Some(since.max(applied) + self.lease.kept())
     }
 
--- a/fleet/src/duty/mod.rs
+++ b/fleet/src/duty/mod.rs
@@ -14,7 +14,7 @@
 
 use std::time::Duration;
 
-use crate::Micros;
+use crate::{micros, Micros};
 
 /// A lease's length, and how far clocks may be apart in pace.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -34,7 +34,7 @@
 impl Lease {
     /// How long a holder may act, by its own clock.
     pub fn held(&self) -> Micros {
-        self.span.as_micros() as Micros
+        micros(self.span)
     }
 
     /// How long nobody else may be given the duty, by the clock of whoever gives it: the holder's clock may run
--- a/fleet/src/host/desk.rs
+++ b/fleet/src/host/desk.rs
@@ -111,7 +111,10 @@
         let old: Enforced = read_whole(&self.fence)?.unwrap_or_default();
         let fleet: BTreeSet<String> = act.out.keys().cloned().collect();
         // Before it takes effect: what is kept here is never behind what was done.
-        write_whole(&self.fence, &Enforced { fence, fleet: old.fleet.union(&fleet).cloned().collect() })?;
+        write_whole(
+            &self.fence,
+            &Enforced { fence: fence.clone(), fleet: old.fleet.union(&fleet).cloned().collect() },
+        )?;
         if let Some(path) = &self.bans {
             let here: BTreeSet<String> = read_whole(path)?.unwrap_or_default();
             let own = here.difference(&old.fleet).cloned();
@@ -121,7 +124,6 @@
                 info!(servers = wanted.len(), version = act.version, "servers out");
             }
         }
-        let fence = read_whole::<Enforced>(&self.fence)?.unwrap_or_default().fence;
         write_whole(&self.fence, &Enforced { fence, fleet })
     }
 
@@ -171,7 +173,7 @@
                     Event::NotSaved
                 }
             };
-            let over = event_is_over(&event);
+            let over = matches!(event, Event::NotSaved);
             // The main task has ended where nobody takes it.
             if tx.blocking_send(Msg::Desk(event)).is_err() || over {
                 return;
@@ -180,7 +182,3 @@
     });
     saves
 }
-
-fn event_is_over(event: &Event) -> bool {
-    matches!(event, Event::NotSaved)
-}
--- a/fleet/src/host/pidfile.rs
+++ b/fleet/src/host/pidfile.rs
@@ -2,13 +2,14 @@
 //! in the process' environment for the moment before the file was written. And the lock on the folder.
 
 use std::fs::{self, File, TryLockError};
-use std::io::{self, Write};
+use std::io;
 use std::path::{Path, PathBuf};
 
 use procfs::process::{all_processes, Process};
 use serde::{Deserialize, Serialize};
 
 use super::HostError;
+use crate::store::{read_whole, write_whole};
 
 /// In the environment of each node that an agent starts: the agent's folder.
 pub const MARK: &str = "WOODGAP_AGENT_STATE";
@@ -80,11 +81,7 @@
 
     /// Written whole or not at all.
     pub fn write(&self, running: &Running) -> io::Result<()> {
-        let fresh = self.path.with_extension("new");
-        let mut file = File::create(&fresh)?;
-        file.write_all(&serde_json::to_vec(running)?)?;
-        file.sync_all()?;
-        fs::rename(&fresh, &self.path)
+        write_whole(&self.path, running)
     }
 
     /// No process any more. One that can't be removed tells of a process that is gone, which is seen.
@@ -94,8 +91,7 @@
 
     /// The node that an earlier agent left behind, if it still runs.
     pub fn find(&self) -> Option<Running> {
-        let said = fs::read(&self.path).ok();
-        let said = said.and_then(|bytes| serde_json::from_slice::<Running>(&bytes).ok());
+        let said: Option<Running> = read_whole(&self.path).ok().flatten();
         // A damaged file, or none: the agent may have died between start and file.
         said.filter(Running::is_there).or_else(|| self.search())
     }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -15,3 +15,8 @@
 
 /// Microseconds on the caller's monotonic clock.
 pub type Micros = u64;
+
+/// A span as the pure rooms count time.
+pub fn micros(span: std::time::Duration) -> Micros {
+    span.as_micros() as Micros
+}
--- a/fleet/src/membership/core/mod.rs
+++ b/fleet/src/membership/core/mod.rs
@@ -20,10 +20,10 @@
 use super::presence::Quorum;
 use super::reach::Reach;
 use super::report::{Agreement, DifferingPeer, MemberReport, Report};
-use super::settings::{micros, Settings};
+use super::settings::Settings;
 use super::timers::Timers;
 use super::{Change, Entry, Identity, Name, NodeState, Present, Record, View};
-use crate::Micros;
+use crate::{micros, Micros};
 
 /// The view is brought up to date at most this often.
 const REFRESH: Micros = 20_000;
--- a/fleet/src/membership/settings.rs
+++ b/fleet/src/membership/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{Formats, FORMATS};
-use crate::Micros;
+use crate::{micros, Micros};
 
 /// The windows and bounds.
 #[derive(Clone, Debug, PartialEq)]
@@ -145,8 +145,3 @@
         (self.retransmit_mult * scale).ceil().clamp(1.0, 60.0) as u8
     }
 }
-
-/// A span as this room counts time.
-pub fn micros(span: Duration) -> Micros {
-    span.as_micros() as Micros
-}
--- a/fleet/src/supervise/mod.rs
+++ b/fleet/src/supervise/mod.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::membership::NodeState;
-use crate::Micros;
+use crate::{micros, Micros};
 
 /// A process that hangs has this long to end by itself: it can't drain.
 const HUNG_GRACE: Micros = 2_000_000;
@@ -303,10 +303,6 @@
     }
 }
 
-fn micros(span: Duration) -> Micros {
-    span.as_micros() as Micros
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
