--- a/fleet/src/agreement/log.rs
+++ b/fleet/src/agreement/log.rs
@@ -4,10 +4,64 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use raft::eraftpb::{ConfState, Entry, EntryType, HardState, Snapshot, SnapshotMetadata};
+use protobuf::Message as _;
+use raft::eraftpb::{
+    ConfChange, ConfChangeType, ConfState, Entry, EntryType, HardState, Snapshot, SnapshotMetadata,
+};
 use raft::{GetEntriesContext, RaftState, Storage, StorageError};
 use serde::{Deserialize, Serialize};
 
+use super::VoterId;
+
+/// Who votes, and who only follows the log until it has caught up.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Conf {
+    /// Voters.
+    pub voters: Vec<VoterId>,
+    /// Learners: they are no part of a majority.
+    pub learners: Vec<VoterId>,
+}
+
+/// A change of who votes. One at a time: the crate refuses a second before the first is applied.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// What becomes of it.
+    pub to: Role,
+    /// Which voter.
+    pub id: VoterId,
+    /// What the caller wants to know it by.
+    pub context: Vec<u8>,
+}
+
+/// A voter's part in the agreed log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// Follows and has no vote yet.
+    Learner,
+    /// Votes.
+    Voter,
+    /// None any more.
+    Gone,
+}
+
+/// What an entry holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Content {
+    /// A command; empty for the first entry of a leader.
+    Command(Vec<u8>),
+    /// A change of who votes.
+    Change(Change),
+}
+
+impl Content {
+    pub(super) fn len(&self) -> usize {
+        match self {
+            Content::Command(data) => data.len(),
+            Content::Change(change) => change.context.len() + 16,
+        }
+    }
+}
+
 /// An entry of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -15,8 +69,8 @@
     pub index: u64,
     /// The term in which it was proposed.
     pub term: u64,
-    /// The command; empty for the first entry of a leader.
-    pub data: Vec<u8>,
+    /// What it holds.
+    pub content: Content,
 }
 
 /// What a voter must never forget: forgetting its vote would let it vote twice in one term.
@@ -37,6 +91,8 @@
     pub index: u64,
     /// That entry's term.
     pub term: u64,
+    /// Who voted then.
+    pub conf: Conf,
     /// The state.
     pub data: Vec<u8>,
 }
@@ -71,6 +127,14 @@
 }
 
 impl Kept {
+    /// What each of a fleet's first voters begins with: the same first entry, as if all had agreed on it. One that joins
+    /// later begins with nothing ([`Kept::default`]) and gets all of it from the leader.
+    pub fn founded(voters: Vec<VoterId>, data: Vec<u8>) -> Kept {
+        let conf = Conf { voters, learners: Vec::new() };
+        let snapshot = SnapshotKept { index: 1, term: 1, conf, data };
+        Kept { hard: Hard { term: 1, vote: 0, commit: 1 }, snapshot, entries: Vec::new() }
+    }
+
     /// Takes over what was to be kept.
     pub fn take(&mut self, save: &Save) {
         if let Some(hard) = save.hard {
@@ -110,12 +174,11 @@
 #[derive(Clone, Debug)]
 pub(super) struct Log {
     kept: Rc<RefCell<Kept>>,
-    voters: Vec<u64>,
 }
 
 impl Log {
-    pub fn new(kept: Kept, voters: Vec<u64>) -> Log {
-        Log { kept: Rc::new(RefCell::new(kept)), voters }
+    pub fn new(kept: Kept) -> Log {
+        Log { kept: Rc::new(RefCell::new(kept)) }
     }
 
     pub fn take(&self, save: &Save) {
@@ -126,47 +189,91 @@
         self.kept.borrow().last()
     }
 
-    /// The state up to `index` stands in for the entries.
-    pub fn compact(&self, index: u64, data: Vec<u8>) -> Option<SnapshotKept> {
+    /// The state up to `index`, with who voted then, stands in for the entries.
+    pub fn compact(&self, index: u64, conf: Conf, data: Vec<u8>) -> Option<SnapshotKept> {
         let term = self.term(index).ok()?;
-        let snapshot = SnapshotKept { index, term, data };
+        let snapshot = SnapshotKept { index, term, conf, data };
         self.take(&Save { snapshot: Some(snapshot.clone()), ..Save::default() });
         Some(snapshot)
     }
+}
+
+fn conf_state(conf: &Conf) -> ConfState {
+    ConfState { voters: conf.voters.clone(), learners: conf.learners.clone(), ..ConfState::default() }
+}
+
+pub(super) fn of_conf(state: &ConfState) -> Conf {
+    Conf { voters: state.voters.clone(), learners: state.learners.clone() }
+}
 
-    fn conf(&self) -> ConfState {
-        ConfState { voters: self.voters.clone(), ..ConfState::default() }
+/// The crate's own form of a change. Its decoder only ever reads what was written here.
+pub(super) fn to_change(change: &Change) -> ConfChange {
+    let kind = match change.to {
+        Role::Learner => ConfChangeType::AddLearnerNode,
+        Role::Voter => ConfChangeType::AddNode,
+        Role::Gone => ConfChangeType::RemoveNode,
+    };
+    ConfChange {
+        change_type: kind,
+        node_id: change.id,
+        context: change.context.clone().into(),
+        ..ConfChange::default()
     }
 }
 
+fn of_change(data: &[u8]) -> Option<Change> {
+    let change = ConfChange::parse_from_bytes(data).ok()?;
+    let to = match change.change_type {
+        ConfChangeType::AddLearnerNode => Role::Learner,
+        ConfChangeType::AddNode => Role::Voter,
+        ConfChangeType::RemoveNode => Role::Gone,
+    };
+    Some(Change { to, id: change.node_id, context: change.context.to_vec() })
+}
+
 pub(super) fn to_entry(item: &Item) -> Entry {
-    Entry {
-        entry_type: EntryType::EntryNormal,
-        index: item.index,
-        term: item.term,
-        data: item.data.clone().into(),
-        ..Entry::default()
-    }
+    let (entry_type, data) = match &item.content {
+        Content::Command(data) => (EntryType::EntryNormal, data.clone()),
+        Content::Change(change) => {
+            (EntryType::EntryConfChange, to_change(change).write_to_bytes().unwrap_or_default())
+        }
+    };
+    Entry { entry_type, index: item.index, term: item.term, data: data.into(), ..Entry::default() }
 }
 
 pub(super) fn of_entry(entry: &Entry) -> Item {
-    Item { index: entry.index, term: entry.term, data: entry.data.to_vec() }
+    let content = match entry.entry_type {
+        // Encoded by this process, from a plain form: it reads back.
+        EntryType::EntryConfChange => of_change(&entry.data).map(Content::Change),
+        _ => None,
+    };
+    let content = content.unwrap_or_else(|| Content::Command(entry.data.to_vec()));
+    Item { index: entry.index, term: entry.term, content }
 }
 
-pub(super) fn to_snapshot(kept: &SnapshotKept, voters: &[u64]) -> Snapshot {
-    let conf = ConfState { voters: voters.to_vec(), ..ConfState::default() };
+pub(super) fn to_snapshot(kept: &SnapshotKept) -> Snapshot {
     let mut metadata = SnapshotMetadata { index: kept.index, term: kept.term, ..SnapshotMetadata::default() };
-    metadata.set_conf_state(conf);
+    metadata.set_conf_state(conf_state(&kept.conf));
     let mut snapshot = Snapshot { data: kept.data.clone().into(), ..Snapshot::default() };
     snapshot.set_metadata(metadata);
     snapshot
 }
 
+pub(super) fn of_snapshot(snapshot: &Snapshot) -> SnapshotKept {
+    let metadata = snapshot.get_metadata();
+    SnapshotKept {
+        index: metadata.index,
+        term: metadata.term,
+        conf: of_conf(metadata.get_conf_state()),
+        data: snapshot.data.to_vec(),
+    }
+}
+
 impl Storage for Log {
     fn initial_state(&self) -> raft::Result<RaftState> {
         let Hard { term, vote, commit } = self.kept.borrow().hard;
         let hard_state = HardState { term, vote, commit, ..HardState::default() };
-        Ok(RaftState { hard_state, conf_state: self.conf() })
+        Ok(RaftState { hard_state, conf_state: conf_state(&self.kept.borrow().snapshot.conf) })
     }
 
     fn entries(
@@ -184,7 +291,7 @@
         let (most, mut size) = (max_size.into().unwrap_or(u64::MAX), 0);
         let mut entries = Vec::new();
         for item in asked {
-            size += item.data.len() as u64 + 24;
+            size += item.content.len() as u64 + 24;
             // One is always given, or an entry over the bound would stand in the way for ever.
             if size > most && !entries.is_empty() {
                 break;
@@ -219,6 +326,6 @@
         if kept.snapshot.index < request_index {
             return Err(raft::Error::Store(StorageError::SnapshotTemporarilyUnavailable));
         }
-        Ok(to_snapshot(&kept.snapshot, &self.voters))
+        Ok(to_snapshot(&kept.snapshot))
     }
 }
--- a/fleet/src/agreement/message.rs
+++ b/fleet/src/agreement/message.rs
@@ -4,7 +4,7 @@
 use raft::eraftpb::{Message, MessageType};
 use serde::{Deserialize, Serialize};
 
-use super::log::{of_entry, to_entry, to_snapshot, Item, SnapshotKept};
+use super::log::{of_entry, of_snapshot, to_entry, to_snapshot, Content, Item, SnapshotKept};
 
 /// Bytes of a command, at most: an entry with its message fits a datagram.
 pub const LONGEST_COMMAND: usize = 900;
@@ -17,8 +17,8 @@
     /// No message of this form.
     #[error("no message of the agreed log")]
     Unreadable,
-    /// Not from a voter, or not to this one.
-    #[error("not between voters")]
+    /// Not to this voter, or from itself.
+    #[error("not for this voter")]
     Stranger,
     /// A kind that never crosses the network.
     #[error("a kind that is not for the network")]
@@ -67,11 +67,7 @@
 pub(super) fn encode(message: &Message) -> Option<Vec<u8>> {
     let (kind, _) = KINDS.iter().find(|(_, kind)| *kind == message.msg_type)?;
     let snapshot = message.snapshot.as_ref().filter(|snapshot| snapshot.get_metadata().index > 0);
-    let snapshot = snapshot.map(|snapshot| SnapshotKept {
-        index: snapshot.get_metadata().index,
-        term: snapshot.get_metadata().term,
-        data: snapshot.data.to_vec(),
-    });
+    let snapshot = snapshot.map(of_snapshot);
     let mirror = Mirror {
         kind: *kind,
         to: message.to,
@@ -92,10 +88,11 @@
     postcard::to_stdvec(&mirror).ok()
 }
 
-/// Reads a message to `me` from one of `voters`. `last` is the last entry here.
-pub(super) fn decode(bytes: &[u8], me: u64, voters: &[u64], last: u64) -> Result<Message, Fault> {
+/// Reads a message to `me`. `last` is the last entry here. The sender need not be known as a voter: one that was away
+/// while all others were replaced learns of it from their leader.
+pub(super) fn decode(bytes: &[u8], me: u64, last: u64) -> Result<Message, Fault> {
     let mirror: Mirror = postcard::from_bytes(bytes).map_err(|_| Fault::Unreadable)?;
-    if mirror.to != me || mirror.from == me || !voters.contains(&mirror.from) {
+    if mirror.to != me || mirror.from == me || mirror.from == 0 {
         return Err(Fault::Stranger);
     }
     let kind = KINDS.iter().find(|(number, _)| *number == mirror.kind).ok_or(Fault::Kind)?.1;
@@ -103,8 +100,13 @@
     let in_order =
         entries.iter().zip(1..).all(|(entry, nth)| mirror.index.checked_add(nth) == Some(entry.index));
     let sound = entries.len() <= MOST_ENTRIES
-        && entries.iter().all(|entry| entry.data.len() <= LONGEST_COMMAND)
+        && entries.iter().all(|entry| entry.content.len() <= LONGEST_COMMAND)
         && (kind == MessageType::MsgPropose || in_order);
+    // Who votes is changed by the leader alone, at its own staff's word.
+    let change = |entry: &Item| matches!(entry.content, Content::Change(_));
+    if kind == MessageType::MsgPropose && entries.iter().any(change) {
+        return Err(Fault::Kind);
+    }
     if !sound {
         return Err(Fault::Unreadable);
     }
@@ -130,7 +132,12 @@
         ..Message::default()
     };
     if kind == MessageType::MsgSnapshot {
-        message.set_snapshot(to_snapshot(&mirror.snapshot.ok_or(Fault::Unreadable)?, voters));
+        let snapshot = mirror.snapshot.ok_or(Fault::Unreadable)?;
+        // The crate panics on a snapshot for nobody.
+        if snapshot.conf.voters.is_empty() || snapshot.conf.voters.contains(&0) {
+            return Err(Fault::Unreadable);
+        }
+        message.set_snapshot(to_snapshot(&snapshot));
     }
     Ok(message)
 }
--- a/fleet/src/agreement/mod.rs
+++ b/fleet/src/agreement/mod.rs
@@ -7,6 +7,6 @@
 mod message;
 mod voter;
 
-pub use log::{Hard, Item, Kept, Save, SnapshotKept};
+pub use log::{Change, Conf, Content, Hard, Item, Kept, Role, Save, SnapshotKept};
 pub use message::{Fault as AgreementFault, LONGEST_COMMAND};
-pub use voter::{Action, Event, Settings, Voter, VoterError, VoterId};
+pub use voter::{Action, Dropped, Event, Settings, Voter, VoterError, VoterId};
--- a/fleet/src/agreement/voter.rs
+++ b/fleet/src/agreement/voter.rs
@@ -1,16 +1,19 @@
 //! Owns one voter: what it may say before what it promised is kept, and what is agreed. One thing is saved at a
 //! time; what comes meanwhile waits, within a bound.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use raft::eraftpb::Message;
-use raft::{Config, RawNode, Ready, StateRole};
+use raft::{Config, RawNode, Ready, SnapshotStatus, StateRole};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
-use super::log::{of_entry, Hard, Item, Kept, Log, Save, SnapshotKept};
-use super::message::{decode, encode, LONGEST_COMMAND};
+use super::log::{
+    of_conf, of_entry, of_snapshot, to_change, Change, Conf, Content, Hard, Item, Kept, Log, Save,
+    SnapshotKept,
+};
+use super::message::{decode, encode, Fault, LONGEST_COMMAND};
 use crate::{micros, Micros};
 
 /// Messages and proposals that wait while something is saved, at most: more are dropped, as a network may.
@@ -21,13 +24,11 @@
 /// A voter by number, not 0.
 pub type VoterId = u64;
 
-/// Who votes, and how fast.
+/// A voter's own part, and how fast it goes. Who else votes is in what it kept.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// This one.
     pub me: VoterId,
-    /// All of them.
-    pub voters: Vec<VoterId>,
     /// The clock's step. A leader's heartbeat comes each step.
     pub tick: Duration,
     /// Steps without a leader before an election, at least; up to twice as many, by voter.
@@ -43,12 +44,18 @@
     Message(Vec<u8>),
     /// Something to agree on; tried, not promised.
     Propose(Vec<u8>),
+    /// A change of who votes; tried by the leader alone, one at a time.
+    Change(Change),
+    /// The lead is to go to the voter that has most of the log.
+    StepDown,
     /// The save of that number is on disk for good.
     Saved(u64),
     /// The state at an entry that was applied, so that the log may be cut.
     Snapshot {
         /// The last entry in it.
         index: u64,
+        /// Who votes from that entry on.
+        conf: Conf,
         /// The state.
         data: Vec<u8>,
     },
@@ -73,7 +80,8 @@
         /// What.
         save: Save,
     },
-    /// Agreed by a majority: to be applied, once and in order. Empty commands are left out.
+    /// Agreed by a majority: to be applied, once and in order. Empty commands are left out. A change of who votes
+    /// holds from here on.
     Apply(Item),
     /// Take over a state in place of all up to its entry.
     Restore(SnapshotKept),
@@ -84,8 +92,9 @@
         /// Who; `None` while there is none.
         leader: Option<VoterId>,
     },
-    /// The log has grown: [`Event::Snapshot`] is welcome.
-    Compact,
+    /// The log has grown, or who votes has changed: [`Event::Snapshot`] is welcome, of the last entry applied before this,
+    /// with these voters. A learner can only begin with a snapshot that names it.
+    Compact(Conf),
     /// A proposal that can't be tried: no leader, or too long. It has no effect.
     NotTried(Vec<u8>),
 }
@@ -101,6 +110,21 @@
     Settings(#[from] raft::Error),
 }
 
+/// Messages that were dropped, by reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Dropped {
+    /// No message of the agreed log, or out of its bounds.
+    pub unreadable: u64,
+    /// For another voter.
+    pub stranger: u64,
+    /// Of a kind that is not for the network.
+    pub kind: u64,
+    /// Refer to entries that are not here.
+    pub beyond: u64,
+    /// More came than can wait while something is saved.
+    pub waiting: u64,
+}
+
 /// One voter.
 pub struct Voter {
     settings: Settings,
@@ -112,20 +136,25 @@
     waiting: VecDeque<Event>,
     leader: (u64, u64),
     asked_to_compact: u64,
+    dropped: Dropped,
+    /// Steps for which a snapshot to another has had no answer.
+    snapshots: BTreeMap<VoterId, usize>,
 }
 
 impl Voter {
     /// A voter with what it kept. One that has lost what it kept must not come back as a voter: it may have
     /// voted in a term that it does not remember.
-    pub fn new(settings: Settings, kept: Kept, seed: u64, now: Micros) -> Result<Voter, VoterError> {
+    pub fn new(settings: Settings, mut kept: Kept, seed: u64, now: Micros) -> Result<Voter, VoterError> {
         if !kept.is_sound() {
             return Err(VoterError::Unsound);
         }
+        // A commit is no promise and is written with the next one: a snapshot may be ahead of it. The crate panics there.
+        kept.hard.commit = kept.hard.commit.max(kept.snapshot.index);
         let mut rng = Pcg64::seed_from_u64(seed ^ settings.me);
         let span = settings.election_ticks.max(3);
         let drawn = span + (rng.next_u64() % span as u64) as usize;
         let applied = kept.snapshot.index;
-        let log = Log::new(kept, settings.voters.clone());
+        let log = Log::new(kept);
         let config = Config {
             id: settings.me,
             election_tick: span,
@@ -154,6 +183,8 @@
             waiting: VecDeque::new(),
             leader: (0, 0),
             asked_to_compact: 0,
+            dropped: Dropped::default(),
+            snapshots: BTreeMap::new(),
         })
     }
 
@@ -172,6 +203,23 @@
         Some(self.raw.raft.leader_id).filter(|id| *id != 0)
     }
 
+    /// Who votes, as far as applied here.
+    pub fn conf(&self) -> Conf {
+        of_conf(&self.raw.raft.prs().conf().to_conf_state())
+    }
+
+    /// Messages that were dropped.
+    pub fn dropped(&self) -> Dropped {
+        self.dropped
+    }
+
+    /// The leader's knowledge of another: how many entries it lacks, where it was heard of lately.
+    pub fn lacks(&self, other: VoterId) -> Option<u64> {
+        self.leads()?;
+        let progress = self.raw.raft.prs().get(other).filter(|progress| progress.recent_active)?;
+        Some(self.raw.raft.raft_log.committed.saturating_sub(progress.matched))
+    }
+
     /// Takes an event and appends what is to be done, in order.
     pub fn on_event(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
@@ -181,6 +229,7 @@
                 self.wake = now + micros(self.settings.tick);
                 if self.saving.is_none() {
                     self.raw.tick();
+                    self.resend_snapshots();
                 }
             }
             event if self.saving.is_some() => {
@@ -188,6 +237,8 @@
                     self.waiting.push_back(event);
                 } else if let Event::Propose(data) = event {
                     actions.push(Action::NotTried(data));
+                } else {
+                    self.dropped.waiting += 1;
                 }
             }
             event => self.take(event, actions),
@@ -198,13 +249,23 @@
     fn take(&mut self, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Message(bytes) => {
-                let (me, voters) = (self.settings.me, &self.settings.voters);
                 // What can't be read is dropped, as a network may: the sender tries again. What is stale or out of
                 // place, the crate refuses.
-                if let Ok(message) = decode(&bytes, me, voters, self.log.last()) {
-                    let _ = self.raw.step(message);
+                match decode(&bytes, self.settings.me, self.log.last()) {
+                    Ok(message) => drop(self.raw.step(message)),
+                    Err(Fault::Unreadable) => self.dropped.unreadable += 1,
+                    Err(Fault::Stranger) => self.dropped.stranger += 1,
+                    Err(Fault::Kind) => self.dropped.kind += 1,
+                    Err(Fault::Beyond) => self.dropped.beyond += 1,
+                }
+            }
+            Event::Change(change) => {
+                // Refused while another is under way; whoever wants it tries again.
+                if self.leads().is_some() {
+                    let _ = self.raw.propose_conf_change(Vec::new(), to_change(&change));
                 }
             }
+            Event::StepDown => self.step_down(),
             Event::Propose(data) => {
                 let tried =
                     data.len() <= LONGEST_COMMAND && self.raw.propose(Vec::new(), data.clone()).is_ok();
@@ -212,8 +273,8 @@
                     actions.push(Action::NotTried(data));
                 }
             }
-            Event::Snapshot { index, data } => {
-                if let Some(snapshot) = self.log.compact(index, data) {
+            Event::Snapshot { index, conf, data } => {
+                if let Some(snapshot) = self.log.compact(index, conf, data) {
                     self.number += 1;
                     let save = Save { snapshot: Some(snapshot), ..Save::default() };
                     actions.push(Action::Save { number: self.number, save });
@@ -235,18 +296,14 @@
             let sends = ready.take_messages();
             self.send(&sends, actions);
             let snapshot = Some(ready.snapshot()).filter(|snapshot| snapshot.get_metadata().index > 0);
-            let snapshot = snapshot.map(|snapshot| SnapshotKept {
-                index: snapshot.get_metadata().index,
-                term: snapshot.get_metadata().term,
-                data: snapshot.data.to_vec(),
-            });
+            let snapshot = snapshot.map(of_snapshot);
             let hard = ready.hs().map(|hs| Hard { term: hs.term, vote: hs.vote, commit: hs.commit });
             let save = Save { hard, snapshot, entries: ready.entries().iter().map(of_entry).collect() };
             if let Some(snapshot) = &save.snapshot {
                 actions.push(Action::Restore(snapshot.clone()));
             }
             let committed = ready.take_committed_entries();
-            apply(&committed, actions);
+            self.apply(&committed, actions);
             if save.is_empty() {
                 self.advance(ready, actions);
                 continue;
@@ -271,7 +328,7 @@
         let first = raft::Storage::first_index(&self.log).unwrap_or(1);
         if applied >= first + self.settings.compact_after && applied >= self.asked_to_compact {
             self.asked_to_compact = applied + self.settings.compact_after / 4;
-            actions.push(Action::Compact);
+            actions.push(Action::Compact(self.conf()));
         }
     }
 
@@ -292,10 +349,61 @@
         }
         let sends = light.take_messages();
         self.send(&sends, actions);
-        apply(light.committed_entries(), actions);
+        self.apply(light.committed_entries(), actions);
         self.raw.advance_apply();
     }
 
+    fn apply(&mut self, entries: &[raft::eraftpb::Entry], actions: &mut Vec<Action>) {
+        for entry in entries.iter().filter(|entry| !entry.data.is_empty()) {
+            let item = of_entry(entry);
+            let Content::Change(change) = &item.content else {
+                actions.push(Action::Apply(item));
+                continue;
+            };
+            // What can't be applied, as one that leaves nobody, is refused at every voter alike.
+            if let Ok(state) = self.raw.apply_conf_change(&to_change(change)) {
+                actions.push(Action::Apply(item));
+                actions.push(Action::Compact(of_conf(&state)));
+            }
+        }
+    }
+
+    /// A snapshot that was lost on its way leaves the crate waiting for its answer for ever: after a while it is sent anew.
+    fn resend_snapshots(&mut self) {
+        let waits = |(id, progress): (&VoterId, &raft::Progress)| {
+            (progress.state == raft::ProgressState::Snapshot).then_some(*id)
+        };
+        let waiting: Vec<VoterId> = match self.leads() {
+            Some(_) => self.raw.raft.prs().iter().filter_map(waits).collect(),
+            None => Vec::new(),
+        };
+        self.snapshots.retain(|id, _| waiting.contains(id));
+        for id in waiting {
+            let ticks = self.snapshots.entry(id).or_insert(0);
+            *ticks += 1;
+            if *ticks > self.settings.election_ticks {
+                *ticks = 0;
+                self.raw.report_snapshot(id, SnapshotStatus::Failure);
+            }
+        }
+    }
+
+    /// Hands the lead to the voter with most of the log.
+    fn step_down(&mut self) {
+        if self.leads().is_none() {
+            return;
+        }
+        let me = self.settings.me;
+        let prs = self.raw.raft.prs();
+        let others = prs.iter().filter(|(id, progress)| {
+            **id != me && progress.recent_active && prs.conf().voters().contains(**id)
+        });
+        if let Some((id, _)) = others.max_by_key(|(id, progress)| (progress.matched, **id)) {
+            let id = *id;
+            self.raw.transfer_leader(id);
+        }
+    }
+
     fn send(&self, messages: &[Message], actions: &mut Vec<Action>) {
         for message in messages {
             if let Some(bytes) = encode(message) {
@@ -304,8 +412,3 @@
         }
     }
 }
-
-fn apply(entries: &[raft::eraftpb::Entry], actions: &mut Vec<Action>) {
-    let commands = entries.iter().filter(|entry| !entry.data.is_empty());
-    actions.extend(commands.map(|entry| Action::Apply(of_entry(entry))));
-}
--- a/fleet/src/bin/woodgap-agent/cli.rs
+++ b/fleet/src/bin/woodgap-agent/cli.rs
@@ -4,6 +4,8 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
+use woodgap_fleet::duty::Duty;
+use woodgap_fleet::membership::Name;
 
 /// Runs a woodgap node and knows the fleet it is part of.
 ///
@@ -43,10 +45,18 @@
     Out(Out),
     /// Put a server back; exit codes as of `out`
     Back(Back),
-    /// Make the empty store of a voter, once in its life
+    /// Ask the holder of a duty to give it up; another takes it. Exit codes as of `out`
+    Yield(Yield),
+    /// Make the store of a voter, once in its life
     ///
-    /// A voter that lost its store may have voted in a term that it does not remember: it must not get a new one.
-    VoterInit(File),
+    /// The first voters of a fleet, named in every file, are made without --join. A voter that lost its store may have
+    /// voted in a term that it does not remember: remove it (voter-remove) and make a new store with --join. So is a voter
+    /// replaced: voter-init --join on the new machine, wait until it votes, voter-remove the old one.
+    VoterInit(VoterInit),
+    /// Take the vote of an agent away, for good. Exit codes as of `out`
+    ///
+    /// Done one at a time, and only while all other voters keep up.
+    VoterRemove(VoterRemove),
     /// Print a script that completes this command line in a shell
     Completions(Completions),
 }
@@ -102,6 +112,31 @@
     pub server: String,
 }
 
+#[derive(Debug, Args)]
+pub struct Yield {
+    #[command(flatten)]
+    pub at: At,
+    /// maintenance, census or watch
+    pub duty: Duty,
+}
+
+#[derive(Debug, Args)]
+pub struct VoterInit {
+    #[command(flatten)]
+    pub file: File,
+    /// For an agent that joins the voters of a running fleet
+    #[arg(long)]
+    pub join: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct VoterRemove {
+    #[command(flatten)]
+    pub at: At,
+    /// The voter's name
+    pub name: Name,
+}
+
 #[derive(Debug, Args)]
 pub struct Completions {
     /// Which shell
--- a/fleet/src/bin/woodgap-agent/duties.rs
+++ b/fleet/src/bin/woodgap-agent/duties.rs
@@ -9,15 +9,19 @@
 use comfy_table::presets::NOTHING;
 use comfy_table::Table;
 use hyper::Method;
+use woodgap_fleet::agreement::Kept;
 use woodgap_fleet::config::Config;
-use woodgap_fleet::duty::desk::{Answer, DeskReport};
+use woodgap_fleet::duty::desk::{founded, joining_id, voter_id, Answer, DeskReport};
+use woodgap_fleet::duty::{self, Why};
 use woodgap_fleet::host::{http, VOTES};
 use woodgap_fleet::membership::Name;
 use woodgap_fleet::store::VoteStore;
 
-use crate::cli::{At, Back, Out};
+use crate::cli::{At, Back, Out, VoterRemove, Yield};
 use crate::{address, print, runtime, NO, USELESS};
 
+/// Changes of hands shown.
+const LAST: usize = 8;
 /// An ask is answered by then: the agent gives it up before.
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -40,6 +44,35 @@
     names.iter().map(Name::as_str).collect::<Vec<_>>().join(", ")
 }
 
+fn time(ms: u64) -> String {
+    humantime::format_rfc3339_seconds(UNIX_EPOCH + Duration::from_millis(ms)).to_string()
+}
+
+fn moved(change: &duty::Change) -> String {
+    let why = match change.why {
+        Why::First => "nobody had held it",
+        Why::Lapsed => "its holder's lease ran out",
+        Why::Free => "it was free",
+        Why::Stops => "its holder stops",
+        Why::Asked => "staff asked its holder",
+    };
+    let name = |name: &Option<Name>| name.as_ref().map_or("nobody", Name::as_str).to_owned();
+    format!(
+        "{} from {} to {}: {why} ({})",
+        change.duty.word(),
+        name(&change.from),
+        name(&change.to),
+        change.token
+    )
+}
+
+fn said(before: Option<&duty::Out>) -> String {
+    match before {
+        Some(out) => format!("agreed; it had been out, by {}: {}\n", out.who, out.why),
+        None => "agreed\n".to_owned(),
+    }
+}
+
 fn table(report: &DeskReport) -> Result<String, Box<dyn Error>> {
     let mut duties = Table::new();
     duties.load_style(NOTHING);
@@ -47,7 +80,7 @@
     for duty in &report.duties {
         let holder = duty.holder.as_ref().map_or("-", Name::as_str).to_owned();
         let lease = if duty.lease_ms > 0 { format!("{} ms", duty.lease_ms) } else { "-".to_owned() };
-        duties.add_row([format!("{:?}", duty.duty).to_lowercase(), holder, duty.token.to_string(), lease]);
+        duties.add_row([duty.duty.word().to_owned(), holder, duty.token.to_string(), lease]);
     }
     let mut text: String = duties.lines().map(|line| format!("{}\n", line.trim_end())).collect();
     let leader = report.leader.as_ref().map_or("not known here", Name::as_str);
@@ -58,12 +91,22 @@
     if !report.votes {
         writeln!(text, "this agent has no vote: it shows what was brought to it")?;
     }
+    if !report.learners.is_empty() {
+        writeln!(text, "voters to be: {}", names(&report.learners))?;
+    }
     for (server, out) in &report.out {
-        let until = out.until_ms.map_or("put back".to_owned(), |at| {
-            humantime::format_rfc3339_seconds(UNIX_EPOCH + Duration::from_millis(at)).to_string()
-        });
+        let until = out.until_ms.map_or("put back".to_owned(), time);
         writeln!(text, "out: {server} until {until}, by {}: {}", out.who, out.why)?;
     }
+    for server in &report.by_hand {
+        writeln!(text, "out by hand, at this agent's node alone: {server}")?;
+    }
+    for alarm in &report.alarms {
+        writeln!(text, "alarm since {}: {}", time(alarm.raised.since_ms), alarm.raised.words)?;
+    }
+    for change in report.changes.iter().rev().take(LAST) {
+        writeln!(text, "{} {}", time(change.at_ms), moved(change))?;
+    }
     if report.refused > 0 {
         writeln!(text, "{} late acts of deposed holders were refused here", report.refused)?;
     }
@@ -93,7 +136,7 @@
     let answer: Answer = serde_json::from_slice(&body)
         .map_err(|_| format!("{addr}: answered {status}: {}", String::from_utf8_lossy(&body).trim()))?;
     match answer {
-        Answer::Done => print("agreed\n"),
+        Answer::Done(before) => print(&said(before.as_ref())),
         Answer::Refused(why) => {
             eprintln!("woodgap-agent: nothing was changed: {why}");
             Ok(ExitCode::from(NO))
@@ -105,13 +148,28 @@
     }
 }
 
-pub fn voter_init(path: &Path) -> Result<ExitCode, Box<dyn Error>> {
+pub fn give_up(wanted: &Yield) -> Result<ExitCode, Box<dyn Error>> {
+    ask(&wanted.at, &format!("/yield?duty={}", wanted.duty.word()))
+}
+
+pub fn voter_remove(voter: &VoterRemove) -> Result<ExitCode, Box<dyn Error>> {
+    ask(&voter.at, &format!("/voter/remove?name={}", voter.name))
+}
+
+pub fn voter_init(path: &Path, join: bool) -> Result<ExitCode, Box<dyn Error>> {
     let config = Config::load(path)?;
-    if !config.duties.voters.contains(&config.name) {
-        return Err(format!("{}: {} is not among the voters", path.display(), config.name).into());
+    let (name, voters) = (&config.name, &config.duties.voters);
+    if !join && !voters.contains(name) {
+        let said = format!("{}: {name} is not among the first voters: to join them, --join", path.display());
+        return Err(said.into());
     }
     std::fs::create_dir_all(&config.state_dir)?;
     let votes = config.state_dir.join(VOTES);
-    VoteStore::create(&votes).map_err(|error| format!("{}: {error}", votes.display()))?;
+    let (me, kept) = if join {
+        (joining_id(name, rand::random()), Kept::default())
+    } else {
+        (voter_id(name), founded(voters))
+    };
+    VoteStore::create(&votes, me, kept).map_err(|error| format!("{}: {error}", votes.display()))?;
     print(&format!("made {}\n", votes.display()))
 }
--- a/fleet/src/bin/woodgap-agent/main.rs
+++ b/fleet/src/bin/woodgap-agent/main.rs
@@ -38,7 +38,9 @@
         Command::Duties(duties) => duties::show(&duties.at, duties.json),
         Command::Out(out) => duties::out(out),
         Command::Back(back) => duties::back(back),
-        Command::VoterInit(file) => duties::voter_init(&file.config),
+        Command::Yield(duty) => duties::give_up(duty),
+        Command::VoterInit(init) => duties::voter_init(&init.file.config, init.join),
+        Command::VoterRemove(voter) => duties::voter_remove(voter),
         Command::Completions(shell) => {
             clap_complete::generate(shell.shell, &mut Cli::command(), "woodgap-agent", &mut io::stdout());
             Ok(ExitCode::SUCCESS)
--- a/fleet/src/duty/desk/acts.rs
+++ b/fleet/src/duty/desk/acts.rs
@@ -15,7 +15,7 @@
 /// Acts out at a time.
 const MOST: usize = 32;
 
-/// The servers out, brought by the holder of the maintenance duty. The same act twice is one.
+/// The servers out and the voters, brought by the holder of the maintenance duty. The same act twice is one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Act {
     /// Under which duty.
@@ -26,6 +26,8 @@
     pub version: u64,
     /// All servers out.
     pub out: BTreeMap<String, Out>,
+    /// All voters: whom an agent without a vote asks.
+    pub voters: Vec<Name>,
 }
 
 /// Acts on their way, and what was enforced here.
@@ -48,6 +50,16 @@
         }
     }
 
+    /// The voters, as last brought here.
+    pub fn voters(&self) -> &[Name] {
+        self.here.as_ref().map_or(&[], |act| &act.voters)
+    }
+
+    /// The version last brought here.
+    pub fn version(&self) -> u64 {
+        self.here.as_ref().map_or(0, |act| act.version)
+    }
+
     pub fn enforced(&self) -> (BTreeMap<String, Out>, u64) {
         self.here.as_ref().map(|act| (act.out.clone(), act.version)).unwrap_or_default()
     }
@@ -75,7 +87,7 @@
         if self.acts.token != token {
             (self.acts.token, self.acts.brought) = (token, BTreeMap::new());
         }
-        let version = self.state.out_version;
+        let version = self.state.version.max(1);
         let mut out = 0;
         for member in &self.members {
             let fresh = (member.process, 0, None);
@@ -84,17 +96,17 @@
                 // A new process may stand beside a new node: it is told again.
                 *brought = fresh;
             }
-            // Version 0 is told too: a target with an older holder's set has to lose it.
             let (has, tried) = (brought.1, brought.2);
-            let lacks = has < version.max(1);
+            let lacks = has < version;
             if lacks && tried.is_none_or(|again| now >= again) && out < MOST {
                 out += 1;
                 brought.2 = Some(now + AGAIN);
                 let act = Act {
                     duty: Duty::Maintenance,
                     token,
-                    version: version.max(1),
+                    version,
                     out: self.state.out.clone(),
+                    voters: self.state.voters.values().cloned().collect(),
                 };
                 actions.push(Action::Act { to: member.name.clone(), act });
             }
--- a/fleet/src/duty/desk/asks.rs
+++ b/fleet/src/duty/desk/asks.rs
@@ -6,37 +6,84 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Action, Desk};
-use crate::duty::{Command, CommandId, Outcome, What};
+use crate::agreement::VoterId;
+use crate::duty::{Command, CommandId, Duty, Out, Outcome, What, Why};
 use crate::membership::Name;
 use crate::Micros;
 
 /// An ask that is not agreed by then is answered so: it may be yet.
 const PATIENCE: Micros = 3_000_000;
 /// It is proposed again this often: a change of leader loses proposals.
-const AGAIN: Micros = 400_000;
+const AGAIN: Micros = 300_000;
 /// Asks at a time.
 const MOST: usize = 64;
 
+/// What staff may ask for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Wish {
+    /// Take a server out of all nodes.
+    Out {
+        /// Its id on discovery's list.
+        server: String,
+        /// The rest of it.
+        out: Out,
+    },
+    /// Put it back.
+    Back {
+        /// Its id.
+        server: String,
+    },
+    /// The holder gives a duty up, and another takes it.
+    Yield(Duty),
+    /// One more voter: asked for by its own agent, which has made its store.
+    AddVoter {
+        /// Its store's number.
+        id: VoterId,
+        /// Its name.
+        name: Name,
+    },
+    /// One voter less.
+    RemoveVoter(Name),
+}
+
+/// A wish on its way: wherever it is tried again, it takes effect once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// Of the agent whose staff asked.
+    pub id: CommandId,
+    /// What.
+    pub wish: Wish,
+}
+
 /// The answer to an ask.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Answer {
-    /// Kept by a majority: it holds.
-    Done,
+    /// Kept by a majority: it holds. Of a server, how it had been out before.
+    Done(Option<Out>),
     /// Nothing was changed, for this reason.
     Refused(String),
     /// Not agreed in time. It may or may not hold; asking again is harmless.
     Tried(String),
 }
 
+impl Answer {
+    /// Whether it holds.
+    pub fn is_done(&self) -> bool {
+        matches!(self, Answer::Done(_))
+    }
+}
+
 struct Ask {
-    what: What,
-    /// Set where this agent votes: it proposes the same command again.
-    command: Option<Command>,
+    request: Request,
     until: Micros,
     again: Micros,
     /// It is with another agent now.
     away: bool,
+    /// It was with another and may take effect by that: nothing that is heard later can mean that nothing was changed.
+    tried: bool,
+    /// Of a duty that is to be given up: its token when that was first known.
+    token: Option<u64>,
 }
 
 /// What is not answered yet.
@@ -47,22 +94,26 @@
 }
 
 impl Asks {
-    pub fn applied(&mut self, command: &Command, outcome: &Outcome, actions: &mut Vec<Action>) {
-        let Some(ask) = self.by_command.remove(&command.id) else { return };
-        self.open.remove(&ask);
+    pub fn applied(&mut self, command: &Command, outcome: Outcome, actions: &mut Vec<Action>) {
+        let Some(ask) = self.by_command.get(&command.id).copied() else { return };
+        let outcome = match outcome {
+            Outcome::Repeated(first) => *first,
+            outcome => outcome,
+        };
         let answer = match outcome {
-            Outcome::Done | Outcome::Repeated => Answer::Done,
+            Outcome::Set(before) => Answer::Done(before),
+            Outcome::Done | Outcome::Repeated(_) => Answer::Done(None),
             Outcome::Overtaken => Answer::Refused("overtaken by another".into()),
             Outcome::Full => Answer::Refused("too many servers are out".into()),
         };
-        actions.push(Action::Answer { ask, answer });
+        self.close(ask, answer, actions);
     }
 
     fn close(&mut self, ask: u64, answer: Answer, actions: &mut Vec<Action>) {
-        if let Some(Ask { command: Some(command), .. }) = self.open.remove(&ask) {
-            self.by_command.remove(&command.id);
+        if let Some(open) = self.open.remove(&ask) {
+            self.by_command.remove(&open.request.id);
+            actions.push(Action::Answer { ask, answer });
         }
-        actions.push(Action::Answer { ask, answer });
     }
 }
 
@@ -71,12 +122,12 @@
 }
 
 impl Desk {
-    pub(super) fn ask(&mut self, now: Micros, ask: u64, what: What, actions: &mut Vec<Action>) {
-        let refusal = if self.voters.is_empty() {
+    pub(super) fn ask(&mut self, now: Micros, ask: u64, request: Request, actions: &mut Vec<Action>) {
+        let (all, missing) = (self.voters().len(), self.missing());
+        let present = all - missing.len();
+        let refusal = if all == 0 {
             Some("this fleet has no voters: nothing can be agreed on".to_owned())
-        } else if !self.has_majority() {
-            let (missing, all) = (self.missing(), self.voters.len());
-            let present = all - missing.len();
+        } else if present * 2 <= all {
             Some(format!("no majority: {present} of {all} voters present, missing {}", names(&missing)))
         } else if self.asks.open.len() >= MOST {
             Some("too many calls at a time".to_owned())
@@ -86,16 +137,13 @@
         if let Some(refusal) = refusal {
             return actions.push(Action::Answer { ask, answer: Answer::Refused(refusal) });
         }
-        let command = self.voter.is_some().then(|| self.command(what.clone()));
-        if let Some(command) = &command {
-            self.asks.by_command.insert(command.id, ask);
-        }
-        let open = Ask { what, command, until: now + PATIENCE, again: now, away: false };
+        self.asks.by_command.insert(request.id, ask);
+        let open = Ask { request, until: now + PATIENCE, again: now, away: false, tried: false, token: None };
         self.asks.open.insert(ask, open);
         self.try_asks(now, actions);
     }
 
-    /// Proposes again what is not agreed yet, and gives up what took too long.
+    /// Tries again what is not agreed yet, and gives up what took too long.
     pub(super) fn try_asks(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let due: Vec<u64> =
             self.asks.open.iter().filter(|(_, ask)| now >= ask.again).map(|(id, _)| *id).collect();
@@ -109,32 +157,76 @@
                 continue;
             }
             ask.again = now + AGAIN;
-            match ask.command.clone() {
-                Some(command) => self.propose(now, &command, actions),
-                None if ask.away => {}
-                None => {
-                    ask.away = true;
-                    let what = ask.what.clone();
-                    let voters = self.voters.values();
-                    let to = voters.filter(|name| self.is_present(name)).nth(id as usize % self.voters.len());
-                    let to = to.or_else(|| self.voters.values().find(|name| self.is_present(name))).cloned();
-                    if let Some(to) = to {
-                        actions.push(Action::Forward { ask: id, to, what });
-                    }
-                }
+            let (Request { id: command, wish }, token) = (ask.request.clone(), ask.token);
+            if let Some(answer) = self.try_wish(now, id, command, wish, token, actions) {
+                self.asks.close(id, answer, actions);
             }
         }
     }
 
-    pub(super) fn forwarded(&mut self, ask: u64, answer: Option<Answer>, actions: &mut Vec<Action>) {
-        match answer {
-            Some(answer) => self.asks.close(ask, answer, actions),
-            // Not answered: whether it was agreed is not known, and another voter may say.
-            None => {
+    /// One try; an answer where the wish is fulfilled, or never will be.
+    fn try_wish(
+        &mut self,
+        now: Micros,
+        ask: u64,
+        id: CommandId,
+        wish: Wish,
+        token: Option<u64>,
+        actions: &mut Vec<Action>,
+    ) -> Option<Answer> {
+        if self.voter.is_none() {
+            let present = self.voters().into_iter().filter(|name| self.is_present(name));
+            let present: Vec<Name> = present.collect();
+            let to = present.get((ask as usize) % present.len().max(1)).cloned();
+            self.forward(ask, to, actions);
+            return None;
+        }
+        match wish {
+            Wish::Out { server, out } => {
+                self.propose(now, &Command { id, what: What::Out { server, out } }, actions);
+            }
+            Wish::Back { server } => {
+                self.propose(now, &Command { id, what: What::Back { server } }, actions);
+            }
+            Wish::AddVoter { id, name } if self.leads() => return self.add_voter(now, id, &name, actions),
+            Wish::RemoveVoter(name) if self.leads() => return self.remove_voter(now, &name, actions),
+            Wish::AddVoter { .. } | Wish::RemoveVoter(_) => {
+                let leader = self.leader();
+                self.forward(ask, leader, actions);
+            }
+            Wish::Yield(duty) => {
+                let held = self.state.held.get(&duty).cloned();
+                let (Some(held), false) = (held, token.is_some_and(|token| self.state.token(duty) > token))
+                else {
+                    return token.map(|_| Answer::Done(None));
+                };
                 if let Some(open) = self.asks.open.get_mut(&ask) {
-                    open.away = false;
+                    open.token = Some(token.unwrap_or(held.token));
+                }
+                if held.process == self.me.process {
+                    self.release(now, duty, Why::Asked);
+                } else {
+                    self.forward(ask, Some(held.holder), actions);
                 }
             }
         }
+        None
+    }
+
+    fn forward(&mut self, ask: u64, to: Option<Name>, actions: &mut Vec<Action>) {
+        let (Some(open), Some(to)) = (self.asks.open.get_mut(&ask), to) else { return };
+        if to != self.me.name && !std::mem::replace(&mut open.away, true) {
+            actions.push(Action::Forward { ask, to, request: open.request.clone() });
+        }
+    }
+
+    pub(super) fn forwarded(&mut self, ask: u64, answer: Option<Answer>, actions: &mut Vec<Action>) {
+        let Some(open) = self.asks.open.get_mut(&ask) else { return };
+        match answer {
+            Some(done @ Answer::Done(_)) => self.asks.close(ask, done, actions),
+            Some(refused @ Answer::Refused(_)) if !open.tried => self.asks.close(ask, refused, actions),
+            // Until the patience here ends, another may know.
+            _ => (open.away, open.tried) = (false, true),
+        }
     }
 }
--- a/fleet/src/duty/desk/mod.rs
+++ b/fleet/src/duty/desk/mod.rs
@@ -3,24 +3,33 @@
 
 mod acts;
 mod asks;
+mod report;
+mod voters;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
-
-use super::{Candidate, Command, CommandId, Duty, Fence, Holder, Keeper, Lease, Outcome, Stale, State, What};
-use crate::agreement::{self, Kept, Save, Voter, VoterError, VoterId};
+use super::{
+    Alarm, Candidate, Change, Command, CommandId, Duty, Fence, Holder, Keeper, Lease, Outcome, Raised, Stale,
+    State, What, Why, DUTIES,
+};
+use crate::agreement::{self, Content, Kept, Save, Voter, VoterError, VoterId};
 use crate::membership::Name;
 use crate::Micros;
 
 pub use acts::Act;
 use acts::Acts;
-pub use asks::Answer;
 use asks::Asks;
+pub use asks::{Answer, Request, Wish};
+pub use report::{DeskReport, DutyReport};
+pub use voters::{founded, joining_id, voter_id};
+use voters::{Joining, Letter};
 
 /// Leases, acts and asks are looked at this often.
 const BEAT: Micros = 50_000;
+/// What this agent proposes for itself is proposed again after this.
+const AGAIN: Micros = 300_000;
+/// An agent that stops waits so long for others to take over.
+const FAREWELL: Micros = 2_000_000;
 
 /// A member as the desk needs it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,7 +46,7 @@
 pub struct Start {
     /// This agent.
     pub me: Member,
-    /// The names of the voters; empty for a fleet without duties.
+    /// The names of the voters, as far as known without a vote; empty for a fleet without duties.
     pub voters: Vec<Name>,
     /// Leases.
     pub lease: Lease,
@@ -45,9 +54,11 @@
     pub tick: std::time::Duration,
     /// Steps without a leader before an election.
     pub election_ticks: usize,
-    /// What this voter kept; `None` where it has no vote, or has lost what it kept.
-    pub kept: Option<Kept>,
-    /// The fence, and what was enforced, as kept.
+    /// Entries after which the log is cut to a snapshot.
+    pub compact_after: u64,
+    /// This voter's number and what it kept; `None` where it has no vote, or has lost what it kept.
+    pub kept: Option<(VoterId, Kept)>,
+    /// The fence, as kept.
     pub fence: Fence,
     /// For the election time-out.
     pub seed: u64,
@@ -64,12 +75,19 @@
     NotSaved,
     /// The members present, this agent among them.
     Members(Vec<Member>),
-    /// Staff, or an agent without a vote for its staff, ask for something.
-    Ask {
+    /// Staff ask this agent for something.
+    Asked {
+        /// Comes back with the answer.
+        ask: u64,
+        /// What.
+        wish: Wish,
+    },
+    /// Another agent asks for its staff, under its own id.
+    Request {
         /// Comes back with the answer.
         ask: u64,
         /// What.
-        what: What,
+        request: Request,
     },
     /// An agent that asked another for its staff got an answer, or none.
     Forwarded {
@@ -89,14 +107,18 @@
     Acted {
         /// At whom.
         to: Name,
-        /// Which version of the servers out it brought.
+        /// Which version it brought.
         version: u64,
         /// What the other said; `None` for no answer.
         answer: Option<Result<(), Stale>>,
     },
+    /// The alarms that should stand now, by the watcher's own look.
+    Observed(BTreeMap<Alarm, Raised>),
+    /// This agent stops: what it holds is to go to others first.
+    Stop,
     /// The time of [`Desk::next_wake`] has come.
     Wake {
-        /// The wall clock in milliseconds: for the ends that staff gave, and nothing else.
+        /// The wall clock in milliseconds: for the ends that staff gave, and for people.
         wall_ms: u64,
     },
 }
@@ -125,7 +147,7 @@
         /// Whom.
         to: Name,
         /// What.
-        what: What,
+        request: Request,
     },
     /// Answer an ask.
     Answer {
@@ -158,13 +180,13 @@
         stale: Stale,
     },
     /// A duty changed hands, for logs.
-    Moved {
+    Moved(Change),
+    /// An alarm was raised, or is over: for staff, once in the fleet.
+    Say {
         /// Which.
-        duty: Duty,
-        /// To whom; `None` where it was given up.
-        to: Option<Name>,
-        /// Under which token.
-        token: u64,
+        alarm: Alarm,
+        /// What; `None` where it is over.
+        raised: Option<Raised>,
     },
     /// Who leads the agreed log, for logs.
     Leader {
@@ -173,54 +195,21 @@
         /// Who.
         leader: Option<Name>,
     },
+    /// This agent has no vote any more: staff removed it, or its state can't be read.
+    VoteLost(&'static str),
+    /// Nothing is held here any more: this agent may go.
+    HandedOver,
 }
 
-/// A duty, as told to staff.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DutyReport {
-    /// Which.
-    pub duty: Duty,
-    /// Who holds it, as far as this agent knows.
-    pub holder: Option<Name>,
-    /// The newest token.
-    pub token: u64,
-    /// How much longer this agent may act under it, in milliseconds; 0 where it is another's.
-    pub lease_ms: u64,
-}
-
-/// What staff are told.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DeskReport {
-    /// Whether this agent votes.
-    pub votes: bool,
-    /// The voters.
-    pub voters: Vec<Name>,
-    /// Those that are not present.
-    pub missing: Vec<Name>,
-    /// Who leads the agreed log.
-    pub leader: Option<Name>,
-    /// The last agreed entry that this agent has; of one without a vote, the last that was brought to it.
-    pub index: u64,
-    /// The duties.
-    pub duties: Vec<DutyReport>,
-    /// Servers out.
-    pub out: BTreeMap<String, super::Out>,
-    /// Its version: the entry that last changed it.
-    pub out_version: u64,
-    /// Acts that were refused here, as their token was old.
-    pub refused: u64,
-    /// The last changes of hands seen here, the newest last: duty, holder, token.
-    pub moves: Vec<(Duty, Option<Name>, u64)>,
-}
-
-/// Moves remembered for staff.
-const MOVES: usize = 16;
-
 /// One agent's part in the duties.
 pub struct Desk {
     me: Member,
-    voters: BTreeMap<VoterId, Name>,
-    voter: Option<Voter>,
+    /// Who votes, by the configuration.
+    configured: Vec<Name>,
+    voter: Option<(VoterId, Voter)>,
+    /// Names of voters heard from.
+    peers: BTreeMap<VoterId, Name>,
+    joining: Joining,
     state: State,
     holder: Holder,
     keeper: Keeper,
@@ -229,130 +218,114 @@
     number: u64,
     asks: Asks,
     acts: Acts,
+    /// Proposed until the state shows them.
+    giving_up: Vec<(Command, Micros)>,
+    observed: BTreeMap<Alarm, Raised>,
+    next_alarm: Micros,
+    /// When it was told to stop, and whether it said that all is handed over.
+    stopping: Option<(Micros, bool)>,
     next_beat: Micros,
-    moves: Vec<(Duty, Option<Name>, u64)>,
-}
-
-/// A voter's number in the agreed log, by its name.
-pub fn voter_id(name: &Name) -> VoterId {
-    xxh3_64(name.as_str().as_bytes()).max(1)
+    wall_ms: u64,
 }
 
 impl Desk {
-    /// A desk. It votes where it is among the voters and has what it kept.
+    /// A desk. It votes where it has what it kept; a voter that kept nothing yet asks to be added.
     pub fn new(start: Start, now: Micros) -> Result<Desk, VoterError> {
-        let Start { me, voters, lease, tick, election_ticks, kept, fence, seed } = start;
-        let by_id: BTreeMap<VoterId, Name> =
-            voters.iter().map(|name| (voter_id(name), name.clone())).collect();
+        let Start { me, voters, lease, tick, election_ticks, compact_after, kept, fence, seed } = start;
         let mut state = State::default();
-        let voter = match kept.filter(|_| voters.contains(&me.name)) {
-            Some(kept) => {
-                state = postcard::from_bytes(&kept.snapshot.data).unwrap_or_default();
-                let settings = agreement::Settings {
-                    me: voter_id(&me.name),
-                    voters: by_id.keys().copied().collect(),
-                    tick,
-                    election_ticks,
-                    compact_after: 2_000,
-                };
-                Some(Voter::new(settings, kept, seed, now)?)
+        let voter = match kept {
+            Some((id, kept)) => {
+                if kept.snapshot.index > 0 {
+                    state = State::of_bytes(&kept.snapshot.data).ok_or(VoterError::Unsound)?;
+                }
+                let settings = agreement::Settings { me: id, tick, election_ticks, compact_after };
+                Some((id, Voter::new(settings, kept, seed, now)?))
             }
             None => None,
         };
         Ok(Desk {
             holder: Holder::new(me.name.clone(), me.process, lease),
-            keeper: Keeper::new(lease),
+            keeper: Keeper::new(lease, &DUTIES),
             me,
-            voters: by_id,
+            configured: voters,
             voter,
+            peers: BTreeMap::new(),
+            joining: Joining::default(),
             state,
             fence,
             members: Vec::new(),
             number: 0,
             asks: Asks::default(),
             acts: Acts::default(),
+            giving_up: Vec::new(),
+            observed: BTreeMap::new(),
+            next_alarm: now,
+            stopping: None,
             next_beat: now,
-            moves: Vec::new(),
+            wall_ms: 0,
         })
     }
 
     /// When [`Event::Wake`] is due.
     pub fn next_wake(&self) -> Micros {
-        let voter = self.voter.as_ref().map_or(Micros::MAX, Voter::next_wake);
-        if self.voters.is_empty() {
-            Micros::MAX
-        } else {
-            self.next_beat.min(voter)
+        if self.configured.is_empty() && self.voter.is_none() && self.stopping.is_none() {
+            return Micros::MAX;
         }
+        let voter = self.voter.as_ref().map_or(Micros::MAX, |(_, voter)| voter.next_wake());
+        self.next_beat.min(voter)
+    }
+
+    /// The token under which this agent may act now, if it may.
+    pub fn may_act(&self, now: Micros, duty: Duty) -> Option<u64> {
+        self.holder.may_act(now, duty)
+    }
+
+    /// What is agreed, as far as it is known here; of an agent without a vote, next to nothing.
+    pub fn state(&self) -> &State {
+        &self.state
     }
 
     /// Takes an event and appends what is to be done, in order.
     pub fn on_event(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Message(bytes) => self.vote(now, agreement::Event::Message(bytes), actions),
+            Event::Message(bytes) => self.letter(now, &bytes, actions),
             Event::Saved(number) => self.vote(now, agreement::Event::Saved(number), actions),
             // Silent from here on, as one that is gone: it can keep no promise.
-            Event::NotSaved => self.voter = None,
+            Event::NotSaved => self.lose_vote("nothing can be kept", actions),
             Event::Members(members) => self.members = members,
-            Event::Ask { ask, what } => self.ask(now, ask, what, actions),
+            Event::Asked { ask, wish } => {
+                self.number += 1;
+                let request = Request { id: CommandId(self.me.process, self.number), wish };
+                self.ask(now, ask, request, actions);
+            }
+            Event::Request { ask, request } => self.ask(now, ask, request, actions),
             Event::Forwarded { ask, answer } => self.forwarded(ask, answer, actions),
             Event::Act { ask, act } => self.acted_on(ask, act, actions),
             Event::Acted { to, version, answer } => self.acts.ended(now, &to, version, answer),
+            Event::Observed(alarms) => self.observed = alarms,
+            Event::Stop => {
+                self.stopping.get_or_insert((now, false));
+                self.next_beat = now;
+            }
             Event::Wake { wall_ms } => {
-                if self.voter.as_ref().is_some_and(|voter| now >= voter.next_wake()) {
+                self.wall_ms = wall_ms;
+                if self.voter.as_ref().is_some_and(|(_, voter)| now >= voter.next_wake()) {
                     self.vote(now, agreement::Event::Wake, actions);
                 }
                 if now >= self.next_beat {
                     self.next_beat = now + BEAT;
-                    self.beat(now, wall_ms, actions);
+                    self.beat(now, actions);
                 }
             }
         }
     }
 
-    /// What staff are told.
-    pub fn report(&self, now: Micros) -> DeskReport {
-        let duty = |duty: Duty| DutyReport {
-            duty,
-            holder: self.state.held.get(&duty).map(|held| held.holder.clone()),
-            token: self.state.token(duty),
-            lease_ms: self.holder.left(now, duty) / 1_000,
-        };
-        let (out, out_version) = if self.voter.is_some() {
-            (self.state.out.clone(), self.state.out_version)
-        } else {
-            self.acts.enforced()
-        };
-        DeskReport {
-            votes: self.voter.is_some(),
-            voters: self.voters.values().cloned().collect(),
-            missing: self.missing(),
-            leader: self.leader(),
-            index: self.state.index,
-            duties: super::DUTIES.into_iter().map(duty).collect(),
-            out,
-            out_version,
-            refused: self.fence.refused,
-            moves: self.moves.clone(),
-        }
-    }
-
-    fn leader(&self) -> Option<Name> {
-        let id = self.voter.as_ref()?.leader()?;
-        self.voters.get(&id).cloned()
-    }
-
     fn is_present(&self, name: &Name) -> bool {
         self.members.iter().any(|member| member.name == *name)
     }
 
-    /// Voters that are not present.
-    fn missing(&self) -> Vec<Name> {
-        self.voters.values().filter(|name| !self.is_present(name)).cloned().collect()
-    }
-
-    fn has_majority(&self) -> bool {
-        (self.voters.len() - self.missing().len()) * 2 > self.voters.len()
+    fn leads(&self) -> bool {
+        self.voter.as_ref().is_some_and(|(_, voter)| voter.leads().is_some())
     }
 
     fn command(&mut self, what: What) -> Command {
@@ -366,30 +339,38 @@
     }
 
     fn vote(&mut self, now: Micros, event: agreement::Event, actions: &mut Vec<Action>) {
-        let Some(voter) = &mut self.voter else { return };
+        let Some((me, voter)) = &mut self.voter else { return };
+        let me = *me;
         let mut wanted = Vec::new();
         voter.on_event(now, event, &mut wanted);
         for action in wanted {
             match action {
                 agreement::Action::Send { to, bytes } => {
-                    if let Some(to) = self.voters.get(&to).cloned() {
+                    if let Some(to) = self.name_of(to) {
+                        let letter = Letter { from: me, name: self.me.name.clone(), bytes };
+                        let bytes = postcard::to_stdvec(&letter).unwrap_or_default();
                         actions.push(Action::Send { to, bytes });
                     }
                 }
                 agreement::Action::Save { number, save } => actions.push(Action::Save { number, save }),
-                agreement::Action::Apply(item) => self.apply(now, item.index, &item.data, actions),
-                agreement::Action::Restore(snapshot) => {
-                    self.state = postcard::from_bytes(&snapshot.data).unwrap_or_default();
-                    self.keeper.applied(now, &self.state);
-                }
+                agreement::Action::Apply(item) => self.apply(now, item.index, &item.content, actions),
+                agreement::Action::Restore(snapshot) => match State::of_bytes(&snapshot.data) {
+                    Some(state) => {
+                        self.state = state;
+                        self.keeper.applied(now, &self.state);
+                    }
+                    // Newer than this program reads: it must not go on from an empty one.
+                    None => {
+                        return self.lose_vote("the agreed state is of a form that is not read here", actions)
+                    }
+                },
                 agreement::Action::Leader { term, leader } => {
-                    let leader = leader.and_then(|id| self.voters.get(&id).cloned());
+                    let leader = leader.and_then(|id| self.name_of(id));
                     actions.push(Action::Leader { term, leader });
                 }
-                agreement::Action::Compact => {
-                    let (index, data) =
-                        (self.state.index, postcard::to_stdvec(&self.state).unwrap_or_default());
-                    self.vote(now, agreement::Event::Snapshot { index, data }, actions);
+                agreement::Action::Compact(conf) => {
+                    let (index, data) = (self.state.index, self.state.to_bytes());
+                    self.vote(now, agreement::Event::Snapshot { index, conf, data }, actions);
                 }
                 // Asks are tried again at each beat, leases too.
                 agreement::Action::NotTried(_) => {}
@@ -397,51 +378,135 @@
         }
     }
 
-    fn apply(&mut self, now: Micros, index: u64, data: &[u8], actions: &mut Vec<Action>) {
-        let Some((command, outcome)) = self.state.apply(index, data) else { return };
+    fn lose_vote(&mut self, why: &'static str, actions: &mut Vec<Action>) {
+        if self.voter.take().is_some() {
+            actions.push(Action::VoteLost(why));
+        }
+    }
+
+    fn apply(&mut self, now: Micros, index: u64, content: &Content, actions: &mut Vec<Action>) {
+        let moves = self.state.changes.back().cloned();
+        let Some((command, outcome)) = self.state.apply(index, content) else { return };
         self.keeper.applied(now, &self.state);
         self.holder.applied(&command, &outcome, &self.state);
-        let moved = match &command.what {
-            What::Give { duty, to, .. } if outcome == Outcome::Done => Some((*duty, Some(to.clone()), index)),
-            What::Release { duty, token } if outcome == Outcome::Done => Some((*duty, None, *token)),
-            _ => None,
-        };
-        if let Some((duty, to, token)) = moved {
-            if self.moves.len() >= MOVES {
-                self.moves.remove(0);
+        let moved = self.state.changes.back().filter(|change| Some(*change) != moves.as_ref());
+        actions.extend(moved.map(|change| Action::Moved(change.clone())));
+        match &command.what {
+            What::Alarm { alarm, raised } if outcome == Outcome::Done && command.id.0 == self.me.process => {
+                actions.push(Action::Say { alarm: alarm.clone(), raised: raised.clone() });
             }
-            self.moves.push((duty, to.clone(), token));
-            actions.push(Action::Moved { duty, to, token });
+            _ => {}
         }
-        self.asks.applied(&command, &outcome, actions);
+        self.asks.applied(&command, outcome, actions);
     }
 
-    fn beat(&mut self, now: Micros, wall_ms: u64, actions: &mut Vec<Action>) {
-        let leads = self.voter.as_ref().is_some_and(|voter| voter.leads().is_some());
+    fn beat(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let leads = self.leads();
         self.keeper.leads(now, leads);
-        let mut wanted = Vec::new();
-        if leads {
-            let candidates: Vec<Candidate> = self
-                .members
-                .iter()
-                .filter(|member| self.voters.values().any(|voter| *voter == member.name))
-                .map(|m| Candidate { name: m.name.clone(), process: m.process, zone: m.zone.clone() })
-                .collect();
-            wanted.extend(self.keeper.give(now, &self.state, &candidates));
-        }
         if now >= self.holder.next_ask() {
-            wanted.extend(self.holder.ask(now, &self.state, self.number + wanted.len() as u64 + 1));
+            if let Some(renew) = self.holder.ask(now, &self.state, self.number + 1) {
+                let command = self.command(renew);
+                self.propose(now, &command, actions);
+            }
         }
-        if self.holder.may_act(now, Duty::Maintenance).is_some() {
-            let over = |until: Option<u64>| until.is_some_and(|until| wall_ms >= until);
-            let ended = self.state.out.iter().find(|(_, out)| over(out.until_ms));
-            wanted.extend(ended.map(|(server, _)| What::Back { server: server.clone() }));
+        if leads {
+            let candidates = self.candidates();
+            for what in self.keeper.give(now, &self.state, &candidates, self.wall_ms) {
+                let command = self.command(what);
+                self.propose(now, &command, actions);
+            }
+            self.promote(now, actions);
         }
-        for what in wanted {
-            let command = self.command(what);
-            self.propose(now, &command, actions);
+        self.end_outs(now, actions);
+        self.tell_alarms(now, actions);
+        self.join(now, actions);
+        if self.stopping.is_some() {
+            self.stop(now, actions);
         }
+        self.give_up(now, actions);
         self.try_asks(now, actions);
         self.bring(now, actions);
     }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let votes: BTreeSet<&Name> = self.state.voters.values().collect();
+        let may = |member: &&Member| {
+            votes.contains(&member.name) && !(self.stopping.is_some() && member.process == self.me.process)
+        };
+        let candidate =
+            |m: &Member| Candidate { name: m.name.clone(), process: m.process, zone: m.zone.clone() };
+        self.members.iter().filter(may).map(candidate).collect()
+    }
+
+    /// The holder of the maintenance duty puts back whose time is up.
+    fn end_outs(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        if self.holder.may_act(now, Duty::Maintenance).is_none() {
+            return;
+        }
+        let over = |until: Option<u64>| until.is_some_and(|until| self.wall_ms >= until);
+        let ended =
+            self.state.out.iter().find(|(_, out)| over(out.until_ms)).map(|(server, _)| server.clone());
+        if let Some(server) = ended {
+            let command = self.command(What::Back { server });
+            self.propose(now, &command, actions);
+        }
+    }
+
+    /// The holder of the watch brings the agreed alarms to what it sees.
+    fn tell_alarms(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        if now < self.next_alarm || self.holder.may_act(now, Duty::Watch).is_none() {
+            return;
+        }
+        let raised = self.observed.iter().filter(|(alarm, _)| !self.state.alarms.contains_key(alarm));
+        let raised = raised.map(|(alarm, raised)| (alarm.clone(), Some(raised.clone())));
+        let over = self.state.alarms.keys().filter(|alarm| !self.observed.contains_key(alarm));
+        let change: Vec<_> = raised.chain(over.map(|alarm| (alarm.clone(), None))).collect();
+        if !change.is_empty() {
+            self.next_alarm = now + AGAIN;
+        }
+        for (alarm, raised) in change {
+            let command = self.command(What::Alarm { alarm, raised });
+            self.propose(now, &command, actions);
+        }
+    }
+
+    /// Gives one's own duty up, until all know it.
+    fn release(&mut self, now: Micros, duty: Duty, why: Why) {
+        if let Some(what) = self.holder.release(duty, &self.state, why, self.wall_ms) {
+            let command = self.command(what);
+            self.giving_up.push((command, now));
+        }
+    }
+
+    fn give_up(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let state = &self.state;
+        self.giving_up.retain(|(command, _)| match &command.what {
+            What::Release { duty, token, .. } => {
+                state.held.get(duty).is_some_and(|held| held.token == *token)
+            }
+            _ => false,
+        });
+        let mut due = Vec::new();
+        for (command, again) in self.giving_up.iter_mut().filter(|(_, again)| now >= *again) {
+            *again = now + AGAIN;
+            due.push(command.clone());
+        }
+        due.iter().for_each(|command| self.propose(now, command, actions));
+    }
+
+    /// On the way out: duties go to others, then the lead, and then this agent may go.
+    fn stop(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let Some((since, false)) = self.stopping else { return };
+        let mine: Vec<Duty> = self.state.held_by(self.me.process).map(|(duty, _)| duty).collect();
+        let alone = self.voter.is_none() || self.state.voters.len() < 2;
+        let done = alone || (mine.is_empty() && !self.leads());
+        if done || now >= since + FAREWELL {
+            self.stopping = Some((since, true));
+            return actions.push(Action::HandedOver);
+        }
+        mine.iter().for_each(|duty| self.release(now, *duty, Why::Stops));
+        if mine.is_empty() {
+            self.vote(now, agreement::Event::StepDown, actions);
+        }
+    }
 }
--- a/fleet/src/duty/holder.rs
+++ b/fleet/src/duty/holder.rs
@@ -3,28 +3,41 @@
 
 use std::collections::BTreeMap;
 
-use super::{Command, Duty, Lease, Outcome, State, What};
+use super::{Command, Duty, Lease, Outcome, State, What, Why};
 use crate::membership::Name;
 use crate::Micros;
 
 /// What this process holds.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Holder {
     me: Name,
     process: u64,
-    lease: Lease,
+    /// How long it may act, and how often it asks.
+    held: Micros,
+    renew_every: Micros,
     /// Renewals on their way: the number of the command, and when it was asked.
     asked: BTreeMap<u64, Micros>,
     /// The token, and until when it may be used.
     until: BTreeMap<Duty, (u64, Micros)>,
+    /// Tokens that were given up here: nothing lengthens them any more.
+    given_up: BTreeMap<Duty, u64>,
     next_ask: Micros,
 }
 
 impl Holder {
     /// Holds nothing yet.
     pub fn new(me: Name, process: u64, lease: Lease) -> Holder {
-        let (asked, until) = (BTreeMap::new(), BTreeMap::new());
-        Holder { me, process, lease, asked, until, next_ask: 0 }
+        let (asked, until, given_up) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Holder {
+            me,
+            process,
+            held: lease.held(),
+            renew_every: lease.renew_every(),
+            asked,
+            until,
+            given_up,
+            next_ask: 0,
+        }
     }
 
     /// The token under which this process may act now, if it may.
@@ -45,15 +58,14 @@
     /// What to ask for now: all duties that are this process' by the agreed state. `number` tells the command from all
     /// others of this process.
     pub fn ask(&mut self, now: Micros, state: &State, number: u64) -> Option<What> {
-        self.next_ask = now + self.lease.renew_every();
-        let mine =
-            state.held.iter().filter(|(_, held)| held.holder == self.me && held.process == self.process);
-        let tokens: Vec<(Duty, u64)> = mine.map(|(duty, held)| (*duty, held.token)).collect();
+        self.next_ask = now + self.renew_every;
+        let mine = state.held_by(self.process).filter(|(duty, token)| !self.gave_up(*duty, *token));
+        let tokens: Vec<(Duty, u64)> = mine.collect();
         if tokens.is_empty() {
             return None;
         }
         // What was asked so long ago that it could not matter any more is forgotten.
-        let lease = self.lease.held();
+        let lease = self.held;
         self.asked.retain(|_, asked| now < *asked + lease);
         self.asked.insert(number, now);
         Some(What::Renew(tokens))
@@ -64,12 +76,10 @@
         match &command.what {
             What::Renew(tokens) if command.id.0 == self.process => {
                 let Some(asked) = self.asked.remove(&command.id.1) else { return };
-                if *outcome == Outcome::Repeated {
-                    return;
-                }
                 for (duty, token) in tokens {
-                    if state.held.get(duty).is_some_and(|held| held.token == *token) {
-                        let until = asked + self.lease.held();
+                    let held = state.held.get(duty).is_some_and(|held| held.token == *token);
+                    if held && !self.gave_up(*duty, *token) {
+                        let until = asked + self.held;
                         let entry = self.until.entry(*duty).or_insert((*token, until));
                         *entry = (*token, if entry.0 == *token { until.max(entry.1) } else { until });
                     }
@@ -90,10 +100,16 @@
         }
     }
 
-    /// Gives a duty up: from now on it does not act, whatever is on its way.
-    pub fn release(&mut self, duty: Duty) -> Option<What> {
-        let (token, _) = self.until.remove(&duty)?;
-        self.asked.clear();
-        Some(What::Release { duty, token })
+    fn gave_up(&self, duty: Duty, token: u64) -> bool {
+        self.given_up.get(&duty) == Some(&token)
+    }
+
+    /// Gives a duty up: from now on it does not act under that token, whatever is on its way. `None` where it is not its
+    /// own, or was given up before.
+    pub fn release(&mut self, duty: Duty, state: &State, why: Why, at_ms: u64) -> Option<What> {
+        let (_, token) = state.held_by(self.process).find(|(held, _)| *held == duty)?;
+        self.until.remove(&duty);
+        let before = self.given_up.insert(duty, token);
+        (before != Some(token)).then_some(What::Release { duty, token, why, at_ms })
     }
 }
--- a/fleet/src/duty/keeper.rs
+++ b/fleet/src/duty/keeper.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Duty, Lease, State, What, DUTIES};
+use super::{Duty, Lease, State, What};
 use crate::membership::Name;
 use crate::Micros;
 
@@ -19,9 +19,12 @@
 }
 
 /// The leader's watch over leases.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Keeper {
-    lease: Lease,
+    duties: Vec<Duty>,
+    /// How long nobody else is given a duty, and how often it is tried.
+    kept: Micros,
+    try_every: Micros,
     /// For each duty the token and renewals last applied, and when it was.
     seen: BTreeMap<Duty, (u64, u64, Micros)>,
     since: Option<Micros>,
@@ -30,8 +33,15 @@
 
 impl Keeper {
     /// Leads nothing yet.
-    pub fn new(lease: Lease) -> Keeper {
-        Keeper { lease, seen: BTreeMap::new(), since: None, next_try: 0 }
+    pub fn new(lease: Lease, duties: &[Duty]) -> Keeper {
+        Keeper {
+            duties: duties.to_vec(),
+            kept: lease.kept(),
+            try_every: lease.renew_every(),
+            seen: BTreeMap::new(),
+            since: None,
+            next_try: 0,
+        }
     }
 
     /// This voter leads, or does not any more.
@@ -56,18 +66,17 @@
             return Some(since);
         }
         let applied = self.seen.get(&duty).map_or(since, |(_, _, at)| *at);
-        Some(since.max(applied) + self.lease.kept())
+        Some(since.max(applied) + self.kept)
     }
 
-    /// Commands that give on what may be given on.
-    pub fn give(&mut self, now: Micros, state: &State, candidates: &[Candidate]) -> Vec<What> {
+    /// Commands that give on what may be given on. `at_ms` is a wall clock, for people.
+    pub fn give(&mut self, now: Micros, state: &State, candidates: &[Candidate], at_ms: u64) -> Vec<What> {
         if now < self.next_try {
             return Vec::new();
         }
-        let free: Vec<Duty> = DUTIES
-            .into_iter()
-            .filter(|duty| self.free_at(*duty, state).is_some_and(|at| now >= at))
-            .collect();
+        let free = self.duties.iter().copied();
+        let free: Vec<Duty> =
+            free.filter(|duty| self.free_at(*duty, state).is_some_and(|at| now >= at)).collect();
         let mut load: Vec<(usize, &Candidate)> = candidates.iter().map(|one| (0, one)).collect();
         for (_, held) in state.held.iter().filter(|(duty, _)| !free.contains(duty)) {
             load.iter_mut().filter(|(_, one)| one.name == held.holder).for_each(|(count, _)| *count += 1);
@@ -79,8 +88,9 @@
             };
             let best = (0..load.len()).min_by_key(|&at| {
                 let (count, one) = load[at];
-                // Who let a lease lapse may be dead and not known to be: it gets the duty back only where it is alone.
-                let lapsed = state.held.get(&duty).is_some_and(|held| held.process == one.process);
+                // Who let a lease lapse may be dead and not known to be, and who gave it up did so on purpose: they get the
+                // duty back only where they are alone.
+                let lapsed = state.last.get(&duty).is_some_and(|held| held.process == one.process);
                 (lapsed, count, zones(&one.zone, &load), one.name.clone())
             });
             let Some(best) = best else { break };
@@ -88,11 +98,11 @@
             let (to, process) = (load[best].1.name.clone(), load[best].1.process);
             let held =
                 state.held.get(&duty).map_or((state.token(duty), 0), |held| (held.token, held.renewals));
-            given.push(What::Give { duty, to, process, after: held.0, renewals: held.1 });
+            given.push(What::Give { duty, to, process, after: held.0, renewals: held.1, at_ms });
         }
         if !given.is_empty() {
             // What was proposed needs a moment to be agreed, or is lost and tried again.
-            self.next_try = now + self.lease.renew_every();
+            self.next_try = now + self.try_every;
         }
         given
     }
--- a/fleet/src/duty/mod.rs
+++ b/fleet/src/duty/mod.rs
@@ -1,16 +1,18 @@
 //! Duties that only one process holds: what is agreed about them, when a holder may act, when its duty may be given
 //! on, and the fence at whoever is acted on. Pure: fed by agreed entries and time.
 
+mod command;
 pub mod desk;
 mod fence;
 mod holder;
 mod keeper;
 mod state;
 
+pub use command::{Alarm, Change, Command, CommandId, Duty, Out, Outcome, What, Why, DUTIES};
 pub use fence::{Fence, Stale};
 pub use holder::Holder;
 pub use keeper::{Candidate, Keeper};
-pub use state::{Command, CommandId, Duty, Held, Out, Outcome, State, What, DUTIES};
+pub use state::{Held, Raised, State};
 
 use std::time::Duration;
 
--- a/fleet/src/duty/state.rs
+++ b/fleet/src/duty/state.rs
@@ -1,99 +1,25 @@
-//! Owns what the agreed log adds up to: who holds which duty under which token, and which servers are out. Every voter
-//! applies the same entries and comes to the same state; no clock is asked here.
+//! Owns what the agreed log adds up to: who votes, who holds which duty under which token, which servers are out and
+//! which alarms stand. Every voter applies the same entries and comes to the same state; no clock is asked here.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
+use super::command::{Alarm, Change, Command, CommandId, Duty, Out, Outcome, What, Why, DUTIES};
+use crate::agreement::{self, Content, Role, VoterId};
 use crate::membership::Name;
 
 /// Commands remembered by id, so that one that is tried twice takes effect once.
 const REMEMBERED: usize = 1_024;
 /// Servers out, at most.
 const MOST_OUT: usize = 1_000;
-
-/// A duty by name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Duty {
-    /// Brings the set of servers that staff took out to every node.
-    Maintenance,
-    /// Sums the fleet's figures.
-    Census,
-    /// Says staff's alarms once.
-    Watch,
-}
-
-/// All duties.
-pub const DUTIES: [Duty; 3] = [Duty::Maintenance, Duty::Census, Duty::Watch];
-
-/// A command's id: who asked, and its number there. The same command tried again has the same id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct CommandId(pub u64, pub u64);
-
-/// Something to agree on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Command {
-    /// Its id.
-    pub id: CommandId,
-    /// What it does.
-    pub what: What,
-}
-
-/// What a command does.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum What {
-    /// The duty goes to that process, if nothing has happened to it since the proposer looked.
-    Give {
-        /// Which.
-        duty: Duty,
-        /// To whom.
-        to: Name,
-        /// Its process: a restarted one is another.
-        process: u64,
-        /// The token seen; 0 for none.
-        after: u64,
-        /// The renewals seen under it.
-        renewals: u64,
-    },
-    /// The holder goes on with all that it holds under these tokens.
-    Renew(Vec<(Duty, u64)>),
-    /// The holder gives the duty up.
-    Release {
-        /// Which.
-        duty: Duty,
-        /// Under which token.
-        token: u64,
-    },
-    /// Staff take a server out of all nodes.
-    Out {
-        /// Its id on discovery's list.
-        server: String,
-        /// The rest of it.
-        out: Out,
-    },
-    /// Staff put it back, or its time is up.
-    Back {
-        /// Its id.
-        server: String,
-    },
-}
-
-/// Why a server is out.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Out {
-    /// Who said so.
-    pub who: String,
-    /// Why, for people.
-    pub why: String,
-    /// Since when, in milliseconds of the asker's wall clock: for people.
-    pub since_ms: u64,
-    /// Until when, in the same; `None` until it is put back.
-    pub until_ms: Option<u64>,
-}
+/// Changes of hands remembered for staff.
+const CHANGES: usize = 32;
+/// The form of a state in a snapshot: the first byte.
+const FORMAT: u8 = 1;
 
 /// A duty that is held.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Held {
     /// By whom.
     pub holder: Name,
@@ -105,47 +31,78 @@
     pub renewals: u64,
 }
 
-/// What became of a command.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Outcome {
-    /// It took effect.
-    Done,
-    /// The duty went to another meanwhile, or was renewed: nothing changed.
-    Overtaken,
-    /// There are too many servers out: nothing changed.
-    Full,
-    /// It had taken effect before.
-    Repeated,
+/// An alarm that stands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Raised {
+    /// For people.
+    pub words: String,
+    /// Since when, in milliseconds of the watcher's wall clock.
+    pub since_ms: u64,
 }
 
 /// What the log adds up to.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct State {
     /// The last entry in it.
     pub index: u64,
+    /// Who votes, by number.
+    pub voters: BTreeMap<VoterId, Name>,
+    /// Who follows until it has caught up.
+    pub learners: BTreeMap<VoterId, Name>,
     /// Duties that are held.
     pub held: BTreeMap<Duty, Held>,
-    /// The last token of each duty, held or not.
-    pub tokens: BTreeMap<Duty, u64>,
+    /// The last holder of each duty, whether it holds it still or not.
+    pub last: BTreeMap<Duty, Held>,
+    /// The last changes of hands, the newest last.
+    pub changes: VecDeque<Change>,
     /// Servers out, by id.
     pub out: BTreeMap<String, Out>,
-    /// The entry that last changed the servers out: a version that grows.
-    pub out_version: u64,
-    done: VecDeque<CommandId>,
+    /// Alarms that stand.
+    pub alarms: BTreeMap<Alarm, Raised>,
+    /// The entry that last changed the servers out or the voters: a version that grows.
+    pub version: u64,
+    done: VecDeque<(CommandId, Outcome)>,
 }
 
 impl State {
+    /// What a fleet begins with.
+    pub fn founded(voters: BTreeMap<VoterId, Name>) -> State {
+        State { index: 1, voters, version: 1, ..State::default() }
+    }
+
+    /// The bytes of a snapshot.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        // Into memory, of plain data: nothing of it can fail.
+        postcard::to_stdvec(&(FORMAT, self)).unwrap_or_default()
+    }
+
+    /// Reads a snapshot; `None` for one of another form, which must not be taken for an empty state.
+    pub fn of_bytes(bytes: &[u8]) -> Option<State> {
+        match bytes.first() {
+            Some(&FORMAT) => postcard::from_bytes(&bytes[1..]).ok(),
+            _ => None,
+        }
+    }
+
     /// Applies the next entry. What can't be read changes nothing, at every voter alike.
-    pub fn apply(&mut self, index: u64, data: &[u8]) -> Option<(Command, Outcome)> {
+    pub fn apply(&mut self, index: u64, content: &Content) -> Option<(Command, Outcome)> {
         self.index = index;
+        let data = match content {
+            Content::Command(data) => data,
+            Content::Change(change) => {
+                self.change(index, change);
+                return None;
+            }
+        };
         let command: Command = postcard::from_bytes(data).ok()?;
-        if self.done.contains(&command.id) {
-            return Some((command, Outcome::Repeated));
+        if let Some((_, outcome)) = self.done.iter().find(|(id, _)| *id == command.id) {
+            let outcome = outcome.clone();
+            return Some((command, Outcome::Repeated(Box::new(outcome))));
         }
         let outcome = self.carry_out(index, &command.what);
         // A renewal is tried anew under a new id; remembering them would push out what staff asked.
         if !matches!(command.what, What::Renew(_)) {
-            self.done.push_back(command.id);
+            self.done.push_back((command.id, outcome.clone()));
             if self.done.len() > REMEMBERED {
                 self.done.pop_front();
             }
@@ -153,18 +110,43 @@
         Some((command, outcome))
     }
 
+    fn change(&mut self, index: u64, change: &agreement::Change) {
+        self.version = index;
+        self.voters.remove(&change.id);
+        let learner = self.learners.remove(&change.id);
+        let name = postcard::from_bytes::<Name>(&change.context).ok().or(learner);
+        match (change.to, name) {
+            (Role::Learner, Some(name)) => drop(self.learners.insert(change.id, name)),
+            (Role::Voter, Some(name)) => drop(self.voters.insert(change.id, name)),
+            _ => {}
+        }
+    }
+
     fn carry_out(&mut self, index: u64, what: &What) -> Outcome {
         match what {
-            What::Give { duty, to, process, after, renewals } => {
+            What::Give { duty, to, process, after, renewals, at_ms } => {
                 let seen =
                     self.held.get(duty).map_or((self.token(*duty), 0), |held| (held.token, held.renewals));
                 if seen != (*after, *renewals) {
                     return Outcome::Overtaken;
                 }
+                let why = match (self.held.contains_key(duty), self.last.contains_key(duty)) {
+                    (true, _) => Why::Lapsed,
+                    (false, true) => Why::Free,
+                    (false, false) => Why::First,
+                };
                 // The entry's own place: no two entries share one, and later ones are higher.
                 let held = Held { holder: to.clone(), process: *process, token: index, renewals: 0 };
+                let from = self.last.insert(*duty, held.clone()).map(|last| last.holder);
                 self.held.insert(*duty, held);
-                self.tokens.insert(*duty, index);
+                self.moved(Change {
+                    duty: *duty,
+                    from,
+                    to: Some(to.clone()),
+                    token: index,
+                    why,
+                    at_ms: *at_ms,
+                });
                 Outcome::Done
             }
             What::Renew(tokens) => {
@@ -177,32 +159,55 @@
                 }
                 outcome
             }
-            What::Release { duty, token } => {
+            What::Release { duty, token, why, at_ms } => {
                 if self.held.get(duty).is_none_or(|held| held.token != *token) {
                     return Outcome::Overtaken;
                 }
-                self.held.remove(duty);
+                let from = self.held.remove(duty).map(|held| held.holder);
+                self.moved(Change { duty: *duty, from, to: None, token: *token, why: *why, at_ms: *at_ms });
                 Outcome::Done
             }
             What::Out { server, out } => {
                 if self.out.len() >= MOST_OUT && !self.out.contains_key(server) {
                     return Outcome::Full;
                 }
-                self.out.insert(server.clone(), out.clone());
-                self.out_version = index;
-                Outcome::Done
+                let before = self.out.insert(server.clone(), out.clone());
+                self.version = index;
+                Outcome::Set(before)
             }
             What::Back { server } => {
-                if self.out.remove(server).is_some() {
-                    self.out_version = index;
+                let before = self.out.remove(server);
+                if before.is_some() {
+                    self.version = index;
                 }
-                Outcome::Done
+                Outcome::Set(before)
             }
+            What::Alarm { alarm, raised } => match raised {
+                Some(raised) if !self.alarms.contains_key(alarm) => {
+                    drop(self.alarms.insert(alarm.clone(), raised.clone()));
+                    Outcome::Done
+                }
+                None if self.alarms.remove(alarm).is_some() => Outcome::Done,
+                _ => Outcome::Overtaken,
+            },
         }
     }
 
+    fn moved(&mut self, change: Change) {
+        if self.changes.len() >= CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(change);
+    }
+
     /// The last token of a duty; 0 where nobody ever held it.
     pub fn token(&self, duty: Duty) -> u64 {
-        self.tokens.get(&duty).copied().unwrap_or(0)
+        self.last.get(&duty).map_or(0, |held| held.token)
+    }
+
+    /// The duties that a process holds, with their tokens.
+    pub fn held_by(&self, process: u64) -> impl Iterator<Item = (Duty, u64)> + '_ {
+        let mine = move |duty: &Duty| self.held.get(duty).filter(|held| held.process == process);
+        DUTIES.into_iter().filter_map(move |duty| mine(&duty).map(|held| (duty, held.token)))
     }
 }
--- a/fleet/src/host/desk.rs
+++ b/fleet/src/host/desk.rs
@@ -11,16 +11,19 @@
 use tracing::{error, info, warn};
 
 use super::{HostError, Msg};
-use crate::agreement::Save;
+use crate::agreement::{Kept, Save, VoterId};
 use crate::config::Config;
 use crate::duty::desk::{Act, Answer, Desk, Event, Member, Start};
 use crate::duty::Fence;
+use crate::membership::Name;
 use crate::store::{read_whole, write_whole, Store, VoteStore};
 use crate::Micros;
 
 /// A voter's store in the agent's folder.
 pub const VOTES: &str = "votes";
 const FENCE: &str = "fence.json";
+/// Entries of the agreed log that are kept before a snapshot takes their place.
+const COMPACT_AFTER: u64 = 2_000;
 
 /// What a target keeps before an act takes effect.
 #[derive(Debug, Default, Serialize, Deserialize)]
@@ -28,6 +31,9 @@
     fence: Fence,
     /// The servers that the fleet had taken out here: others were taken out by staff at the node itself.
     fleet: BTreeSet<String>,
+    /// Who votes, as last brought here.
+    #[serde(default)]
+    voters: Vec<Name>,
 }
 
 /// Who waits for an answer.
@@ -60,19 +66,22 @@
         let me = Member { name: config.name.clone(), process, zone: config.zone.clone() };
         let votes = config.state_dir.join(VOTES);
         let (kept, saves) = match open(&votes, config.duties.voters.contains(&config.name)) {
-            Some((kept, store)) => (Some(kept), Some(keep(store, tx))),
+            Some((me, kept, store)) => (Some((me, kept)), Some(keep(store, tx))),
             None => (None, None),
         };
         let fence = config.state_dir.join(FENCE);
         let state = |source| HostError::State { path: fence.clone(), source };
         let enforced: Enforced = read_whole(&fence).map_err(state)?.unwrap_or_default();
         let duties = &config.duties;
+        // The configuration names the first voters; what was brought here names those of now.
+        let voters = if enforced.voters.is_empty() { duties.voters.clone() } else { enforced.voters.clone() };
         let start = |kept| Start {
             me: me.clone(),
-            voters: duties.voters.clone(),
+            voters: voters.clone(),
             lease: duties.lease,
             tick: duties.tick,
             election_ticks: duties.election_ticks,
+            compact_after: COMPACT_AFTER,
             kept,
             fence: enforced.fence.clone(),
             seed: process,
@@ -113,7 +122,11 @@
         // Before it takes effect: what is kept here is never behind what was done.
         write_whole(
             &self.fence,
-            &Enforced { fence: fence.clone(), fleet: old.fleet.union(&fleet).cloned().collect() },
+            &Enforced {
+                fence: fence.clone(),
+                fleet: old.fleet.union(&fleet).cloned().collect(),
+                voters: act.voters.clone(),
+            },
         )?;
         if let Some(path) = &self.bans {
             let here: BTreeSet<String> = read_whole(path)?.unwrap_or_default();
@@ -124,7 +137,15 @@
                 info!(servers = wanted.len(), version = act.version, "servers out");
             }
         }
-        write_whole(&self.fence, &Enforced { fence, fleet })
+        write_whole(&self.fence, &Enforced { fence, fleet, voters: act.voters.clone() })
+    }
+
+    /// The servers that staff took out at this agent's node alone.
+    pub fn by_hand(&self) -> Vec<String> {
+        let Some(path) = &self.bans else { return Vec::new() };
+        let here: BTreeSet<String> = read_whole(path).ok().flatten().unwrap_or_default();
+        let fleet = read_whole::<Enforced>(&self.fence).ok().flatten().unwrap_or_default().fleet;
+        here.difference(&fleet).cloned().collect()
     }
 
     /// The time comes; the wall clock for staff's ends.
@@ -140,16 +161,14 @@
     folder.join(format!("woodgap-{name}-out.json"))
 }
 
-fn open(path: &Path, votes: bool) -> Option<(crate::agreement::Kept, VoteStore)> {
-    if !votes {
-        return None;
-    }
+fn open(path: &Path, votes: bool) -> Option<(VoterId, Kept, VoteStore)> {
     let opened = VoteStore::open(path).and_then(|store| {
         let Some(mut store) = store else { return Ok(None) };
-        Ok(Some((store.load()?, store)))
+        Ok(Some((store.me()?, store.load()?, store)))
     });
     match opened {
         Ok(Some(found)) => Some(found),
+        Ok(None) if !votes => None,
         Ok(None) => {
             warn!(path = %path.display(), "among the voters, but without a store: no vote (see voter-init)");
             None
--- a/fleet/src/host/duties.rs
+++ b/fleet/src/host/duties.rs
@@ -3,7 +3,7 @@
 use tracing::{info, warn};
 
 use super::desk::Asker;
-use super::{membership, wire, Host, Msg};
+use super::{membership, tell, wire, Host, Msg};
 use crate::duty::desk::{self as duty, Answer};
 use crate::membership::{ConnId, Name, Stream};
 
@@ -13,9 +13,9 @@
         let answer = conn.and_then(|conn| self.conns.remove(&conn));
         match (stream, answer) {
             (Stream::Agreed(bytes), _) => self.duty(duty::Event::Message(bytes)),
-            (Stream::Ask(what), Some(answer)) => {
+            (Stream::Ask(request), Some(answer)) => {
                 let ask = self.desk.asker(Asker::Call(answer));
-                self.duty(duty::Event::Ask { ask, what });
+                self.duty(duty::Event::Request { ask, request });
             }
             (Stream::Act(act), Some(answer)) => {
                 let ask = self.desk.asker(Asker::Call(answer));
@@ -32,13 +32,15 @@
             match action {
                 duty::Action::Send { to, bytes } => self.send_voter(&to, bytes),
                 duty::Action::Save { number, save } => self.desk.save(number, save),
-                duty::Action::Forward { ask, to, what } => self.call(&to, Stream::Ask(what), move |stream| {
-                    let answer = match stream {
-                        Some(Stream::Told(answer)) => Some(answer),
-                        _ => None,
-                    };
-                    Some(duty::Event::Forwarded { ask, answer })
-                }),
+                duty::Action::Forward { ask, to, request } => {
+                    self.call(&to, Stream::Ask(request), move |stream| {
+                        let answer = match stream {
+                            Some(Stream::Told(answer)) => Some(answer),
+                            _ => None,
+                        };
+                        Some(duty::Event::Forwarded { ask, answer })
+                    })
+                }
                 duty::Action::Act { to, act } => {
                     let (name, version) = (to.clone(), act.version);
                     self.call(&to, Stream::Act(act), move |stream| {
@@ -62,9 +64,15 @@
                     warn!(token = stale.token, seen = stale.seen, "an act of a deposed holder was refused");
                     self.reply(ask, Stream::Acted(Err(stale)));
                 }
-                duty::Action::Moved { duty, to, token } => {
-                    let to = to.as_ref().map_or("nobody", Name::as_str);
-                    info!(?duty, to, token, "duty");
+                duty::Action::Moved(change) => {
+                    let to = change.to.as_ref().map_or("nobody", Name::as_str);
+                    info!(duty = change.duty.word(), to, token = change.token, why = ?change.why, "duty");
+                }
+                duty::Action::Say { alarm, raised } => tell::alarm(&alarm, raised.as_ref()),
+                duty::Action::VoteLost(why) => warn!(why, "this agent has no vote any more"),
+                duty::Action::HandedOver => {
+                    self.handed_over = true;
+                    self.leave();
                 }
                 duty::Action::Leader { term, leader } => {
                     let leader = leader.as_ref().map_or("nobody", Name::as_str);
--- a/fleet/src/host/mod.rs
+++ b/fleet/src/host/mod.rs
@@ -25,8 +25,7 @@
 use tracing::{info, warn};
 
 use crate::config::Config;
-use crate::duty::desk::{self as duty, Answer, DeskReport};
-use crate::duty::What;
+use crate::duty::desk::{self as duty, Answer, DeskReport, Wish};
 use crate::membership::{
     self, CallId, ConnId, Membership, NodeState, Record, Report, Start, LONGEST_DATAGRAM,
 };
@@ -96,7 +95,7 @@
     /// Staff ask for the duties.
     Duties(oneshot::Sender<Box<DeskReport>>),
     /// Staff ask for something to be agreed on.
-    Ask { what: What, answer: oneshot::Sender<Answer> },
+    Ask { wish: Wish, answer: oneshot::Sender<Answer> },
     /// Staff ask for the figures.
     Figures(oneshot::Sender<String>),
 }
@@ -114,6 +113,9 @@
     conns: BTreeMap<ConnId, oneshot::Sender<Vec<u8>>>,
     conn_number: ConnId,
     stopping: bool,
+    /// The node has ended, and the duties are with others: both before the agent leaves.
+    drained: bool,
+    handed_over: bool,
     unsent: u64,
     ended: Option<Exit>,
 }
@@ -153,6 +155,8 @@
         conns: BTreeMap::new(),
         conn_number: 0,
         stopping: false,
+        drained: false,
+        handed_over: false,
         unsent: 0,
         ended: None,
     };
@@ -249,12 +253,16 @@
                 self.supervise(event);
             }
             Msg::Desk(event) => self.duty(event),
-            Msg::Duties(answer) => drop(answer.send(Box::new(self.desk.desk.report(self.clock.now())))),
-            Msg::Ask { what, answer } => {
+            Msg::Duties(answer) => {
+                let report = self.desk.desk.report(self.clock.now());
+                let report = DeskReport { by_hand: self.desk.by_hand(), ..report };
+                // Who asks may have gone, here and below.
+                drop(answer.send(Box::new(report)));
+            }
+            Msg::Ask { wish, answer } => {
                 let ask = self.desk.asker(Asker::Staff(answer));
-                self.duty(duty::Event::Ask { ask, what });
+                self.duty(duty::Event::Asked { ask, wish });
             }
-            // Who asked may have gone.
             Msg::Report(answer) => drop(answer.send(Box::new(self.core.report(self.clock.now())))),
             Msg::Figures(answer) => drop(answer.send(self.figures())),
         }
@@ -271,9 +279,18 @@
             return;
         }
         info!(why, "agent stops");
+        self.duty(duty::Event::Stop);
         if self.node.is_some() {
             self.supervise(supervise::Event::Stop);
         } else {
+            self.drained = true;
+        }
+        self.leave();
+    }
+
+    /// Leaves once nothing is left to do.
+    fn leave(&mut self) {
+        if self.drained && self.handed_over {
             self.member(membership::Event::Leave);
         }
     }
@@ -359,7 +376,10 @@
                     self.node_state = state;
                     self.member(membership::Event::Node { state, note });
                 }
-                supervise::Action::Done => self.member(membership::Event::Leave),
+                supervise::Action::Done => {
+                    self.drained = true;
+                    self.leave();
+                }
             }
         }
     }
--- a/fleet/src/host/operators.rs
+++ b/fleet/src/host/operators.rs
@@ -17,8 +17,9 @@
 use tokio::time::timeout;
 
 use super::{wire, Msg};
-use crate::duty::desk::Answer;
-use crate::duty::{Out, What};
+use crate::duty::desk::{Answer, Wish};
+use crate::duty::Out;
+use crate::membership::Name;
 
 /// Callers at a time; more wait in the socket's queue, and none for longer than [`STUCK`] each.
 const CALLERS: usize = 8;
@@ -52,7 +53,7 @@
 async fn answer(request: Request<Incoming>, tx: mpsc::Sender<Msg>) -> Reply {
     let wanted = match request.uri().path() {
         "/status" | "/fleet" | "/metrics" | "/duties" => Method::GET,
-        "/out" | "/back" => Method::POST,
+        "/out" | "/back" | "/yield" | "/voter/remove" => Method::POST,
         _ => return reply(StatusCode::NOT_FOUND, "no such call\n", "text/plain"),
     };
     if request.method() != wanted {
@@ -73,17 +74,18 @@
             None => busy(),
         },
         path => {
-            let what = asked(path, request.uri().query().unwrap_or(""));
-            match what {
-                Ok(what) => agreed(ask(&tx, |answer| Msg::Ask { what, answer }).await),
+            let wish = asked(path, request.uri().query().unwrap_or(""));
+            match wish {
+                Ok(wish) => agreed(ask(&tx, |answer| Msg::Ask { wish, answer }).await),
                 Err(wrong) => reply(StatusCode::BAD_REQUEST, format!("{wrong}\n"), "text/plain"),
             }
         }
     }
 }
 
-/// What staff ask for: `/out?server=ID&who=..&why=..&until_ms=..` or `/back?server=ID`.
-fn asked(path: &str, query: &str) -> Result<What, String> {
+/// What staff ask for: `/out?server=ID&who=..&why=..&until_ms=..`, `/back?server=ID`, `/yield?duty=NAME` or
+/// `/voter/remove?name=NAME`.
+fn asked(path: &str, query: &str) -> Result<Wish, String> {
     let mut fields: BTreeMap<String, String> = BTreeMap::new();
     for (key, value) in form_urlencoded::parse(query.as_bytes()) {
         if fields.insert(key.clone().into_owned(), value.into_owned()).is_some() {
@@ -97,12 +99,22 @@
         }
         Ok(value)
     };
+    match path {
+        "/yield" => return take("duty", 32)?.parse().map(Wish::Yield),
+        "/voter/remove" => {
+            return take("name", 64)?
+                .parse::<Name>()
+                .map(Wish::RemoveVoter)
+                .map_err(|fault| fault.to_string())
+        }
+        _ => {}
+    }
     let server = take("server", 128)?;
     if server.is_empty() {
         return Err("server names none".into());
     }
     if path == "/back" {
-        return Ok(What::Back { server });
+        return Ok(Wish::Back { server });
     }
     let (who, why, until) = (take("who", 64)?, take("why", 200)?, take("until_ms", 20)?);
     let until_ms = match until.as_str() {
@@ -110,14 +122,14 @@
         text => Some(text.parse().map_err(|_| format!("until_ms: '{text}' is no time in milliseconds"))?),
     };
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Ok(What::Out { server, out: Out { who, why, since_ms: since.as_millis() as u64, until_ms } })
+    Ok(Wish::Out { server, out: Out { who, why, since_ms: since.as_millis() as u64, until_ms } })
 }
 
 /// 200 yes, 409 no and nothing was changed, 503 tried and not known.
 fn agreed(answer: Option<Answer>) -> Reply {
     let Some(answer) = answer else { return busy() };
     let status = match &answer {
-        Answer::Done => StatusCode::OK,
+        Answer::Done(_) => StatusCode::OK,
         Answer::Refused(_) => StatusCode::CONFLICT,
         Answer::Tried(_) => StatusCode::SERVICE_UNAVAILABLE,
     };
--- a/fleet/src/host/tell.rs
+++ b/fleet/src/host/tell.rs
@@ -2,6 +2,7 @@
 
 use tracing::{info, warn};
 
+use crate::duty::{Alarm, Raised};
 use crate::membership::{Change, Name, Presence};
 
 /// Logs a change that membership tells.
@@ -31,3 +32,11 @@
         }
     }
 }
+
+/// Logs an alarm, or its end. One process of the fleet does, once.
+pub fn alarm(alarm: &Alarm, raised: Option<&Raised>) {
+    match raised {
+        Some(raised) => warn!(?alarm, words = raised.words, "alarm"),
+        None => info!(?alarm, "alarm is over"),
+    }
+}
--- a/fleet/src/membership/message.rs
+++ b/fleet/src/membership/message.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Formats, Identity, Record};
-use crate::duty::desk::{Act, Answer};
+use crate::duty::desk::{Act, Answer, Request};
 use crate::duty::Stale;
 
 /// The formats that this program reads. 1: view digest, SWIM payload, one broadcast. 2: also a word from member
@@ -185,7 +185,7 @@
     /// Between voters of the agreed log, where a datagram is too short. No answer.
     Agreed(Vec<u8>),
     /// An agent without a vote asks a voter, for its staff.
-    Ask(crate::duty::What),
+    Ask(Request),
     /// The answer to that.
     Told(Answer),
     /// The holder of a duty acts on this agent.
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -46,6 +46,10 @@
     ///
     /// In virtual time, a play a seed; with --agent also on real processes, loopback only.
     Plane(Plane),
+    /// Play duties among voters under faults in virtual time, a play a seed, and check what happened
+    ///
+    /// Exit code 1 where a play broke a property; its seed plays it again.
+    Duties(Duties),
     /// List the scenarios that ship, a line each
     Scenarios,
 }
@@ -200,6 +204,20 @@
     }
 }
 
+/// Which plays of the duties.
+#[derive(Args, Debug)]
+pub struct Duties {
+    /// Voters; two agents without a vote come on top
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=7))]
+    pub voters: u8,
+    /// The first seed
+    #[arg(long, default_value_t = 0, value_name = "SEED")]
+    pub from: u64,
+    /// Plays
+    #[arg(long, default_value_t = 1_000, value_parser = clap::value_parser!(u64).range(1..=10_000_000))]
+    pub plays: u64,
+}
+
 /// What is measured of the fleet plane.
 #[derive(Args, Debug)]
 pub struct Plane {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -18,7 +18,7 @@
 use woodgap_lab::sim::{self, SimPlan};
 use woodgap_lab::wire::{self, Child};
 
-use cli::{Bench, Cli, Command, Experiment, Plane, Replay, Report, Sim, Up};
+use cli::{Bench, Cli, Command, Duties, Experiment, Plane, Replay, Report, Sim, Up};
 
 /// A rule was broken or a node crashed.
 const BROKEN: u8 = 1;
@@ -42,6 +42,7 @@
         Command::Report(of) => report_on(&of),
         Command::Bench(bench) => compare_with(&bench),
         Command::Plane(plane) => measure_plane(&plane),
+        Command::Duties(duties) => play_duties(&duties),
         Command::Scenarios => scenarios(),
     };
     done.unwrap_or_else(|error| {
@@ -59,6 +60,35 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Plays between two lines of progress.
+const ROUND: u64 = 10_000;
+
+fn play_duties(wanted: &Duties) -> Result<ExitCode, Box<dyn Error>> {
+    let voters = usize::from(wanted.voters);
+    let (start, end) = (std::time::Instant::now(), wanted.from.saturating_add(wanted.plays));
+    let (mut changes, mut refused, mut calls, mut replaced, mut broken) = (0, 0, 0, 0, 0);
+    let mut from = wanted.from;
+    while from < end {
+        let to = end.min(from + ROUND);
+        for play in woodgap_lab::plane::duties::plays(voters, from..to, None) {
+            (changes, refused, calls) = (changes + play.changes, refused + play.acts.1, calls + play.calls.0);
+            replaced += play.replaced;
+            if !play.breaches.is_empty() {
+                broken += 1;
+                println!("broken: --voters {voters} --from {} --plays 1: {:?}", play.seed, play.breaches);
+            }
+        }
+        from = to;
+        eprintln!("{} plays, {broken} broken, {:.0} s", from - wanted.from, start.elapsed().as_secs_f64());
+    }
+    println!(
+        "{} plays of {voters} voters: {broken} broken; {changes} changes of hands, {refused} late acts refused, \
+         {calls} calls answered with yes, {replaced} voters replaced",
+        wanted.plays
+    );
+    Ok(ExitCode::from(if broken > 0 { BROKEN } else { 0 }))
+}
+
 /// Members of the real fleet.
 const REAL: usize = 5;
 
--- /dev/null
+++ b/lab/src/plane/duties/carry.rs
@@ -0,0 +1,183 @@
+//! Carries out what the desks of a play want, over links that lose and delay, and writes down what happened.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use rand::RngExt;
+use woodgap_fleet::agreement::Save;
+use woodgap_fleet::duty::desk::{self, Action, Answer, Event};
+use woodgap_fleet::duty::Stale;
+use woodgap_fleet::Micros;
+
+use super::check::{Act, Step};
+use super::seat::process;
+use super::world::{seat_of, Asker, Call, Due};
+use super::{Sabotage, World};
+
+/// A sync takes up to this long.
+const SYNC: Micros = 8_000;
+/// An act may be on its way for up to this long, now and then.
+const LATE: Micros = 3_000_000;
+/// A call without an answer ends then.
+const PATIENCE: Micros = 2_000_000;
+
+impl World {
+    /// Hands an agent what happened, and carries out what it wants.
+    pub(super) fn give(&mut self, at: usize, event: Event) {
+        let now = self.seats[at].clock(self.now);
+        let seat = &mut self.seats[at];
+        let Some(desk) = &mut seat.desk else { return };
+        let mut actions = Vec::new();
+        desk.on_event(now, event, &mut actions);
+        let state = desk.state();
+        if state.index > seat.index {
+            let mut hash = DefaultHasher::new();
+            state.hash(&mut hash);
+            let (index, hash) = (state.index, hash.finish());
+            seat.index = index;
+            if *self.history.states.entry(index).or_insert(hash) != hash {
+                self.history.forked.push(index);
+            }
+        }
+        actions.into_iter().for_each(|action| self.carry_out(at, action));
+    }
+
+    /// When something sent now arrives; `None` where it is lost.
+    fn arrives(&mut self, from: usize, to: usize) -> Option<Micros> {
+        let lost = self.rng.random::<f64>() < self.loss;
+        let after = self.rng.random_range(200..3_000);
+        (self.reaches(from, to) && !lost).then_some(self.now + after)
+    }
+
+    fn carry_out(&mut self, at: usize, action: Action) {
+        let life = self.seats[at].life;
+        match action {
+            Action::Send { to, bytes } => {
+                let to = seat_of(&to);
+                if let Some(when) = self.arrives(at, to) {
+                    self.queue.push(when, Due::Message { to, bytes });
+                }
+            }
+            Action::Save { number, save } => self.save(at, life, number, save),
+            Action::Forward { ask, to, request } => {
+                let to = seat_of(&to);
+                let call = self.call_number(Call::Ask { life, ask });
+                if let Some(when) = self.arrives(at, to) {
+                    self.queue.push(when, Due::Request { from: at, call, to, request });
+                }
+                self.queue.push(self.now + PATIENCE, Due::Replied { seat: at, call, answer: None });
+            }
+            Action::Answer { ask, answer } => self.answer(at, ask, answer),
+            Action::Act { to, act } => {
+                let call = self.call_number(Call::Act { life, to: to.clone(), version: act.version });
+                let to = seat_of(&to);
+                let late = self.rng.random::<f64>() < 0.05;
+                let more = if late { self.rng.random_range(0..LATE) } else { 0 };
+                if let Some(when) = self.arrives(at, to) {
+                    self.queue.push(when + more, Due::Act { from: at, call, to, act });
+                }
+                self.queue.push(self.now + PATIENCE, Due::Acted { seat: at, call, answer: None });
+            }
+            Action::Enforce { ask, act, fence } => {
+                self.take_effect(at, &act);
+                let seat = &mut self.seats[at];
+                (seat.fence, seat.enforced) = (fence, Some(act));
+                self.reply_act(at, ask, Ok(()));
+            }
+            Action::Refuse { ask, stale } => {
+                self.history.refused += 1;
+                self.reply_act(at, ask, Err(stale));
+            }
+            Action::Leader { term, leader } => {
+                if leader.is_some_and(|leader| seat_of(&leader) == at) {
+                    self.history.led.push((term, process(at, life)));
+                }
+            }
+            Action::HandedOver => self.stopped(at),
+            Action::Moved(_) | Action::Say { .. } | Action::VoteLost(_) => {}
+        }
+    }
+
+    fn call_number(&mut self, call: Call) -> u64 {
+        self.number += 1;
+        self.calls.insert(self.number, call);
+        self.number
+    }
+
+    fn save(&mut self, seat: usize, life: u64, number: u64, save: Save) {
+        if self.seats[seat].store.as_ref().is_none_or(|store| store.full) {
+            return self.queue.push(self.now + 1, Due::NotSynced { seat, life });
+        }
+        if self.sabotage == Some(Sabotage::VoteNotSynced) {
+            // It says so at once; the disk comes later, and not at all if the process dies before.
+            let late = self.now + 500_000;
+            self.queue.push(late, Due::Synced { seat, life, number: 0, save });
+            let word = Due::Synced { seat, life, number, save: Save::default() };
+            return self.queue.push(self.now + 1, word);
+        }
+        // One thread writes: what was asked for first is on the disk first.
+        let done = self.now.max(self.seats[seat].busy_until) + self.rng.random_range(100..SYNC);
+        self.seats[seat].busy_until = done;
+        self.queue.push(done, Due::Synced { seat, life, number, save });
+    }
+
+    fn take_effect(&mut self, at: usize, act: &desk::Act) {
+        let accepted = Act { at: self.now, duty: act.duty, token: act.token, by: at as u64 };
+        self.history.accepted.push(accepted);
+    }
+
+    /// An act arrives at its target.
+    pub(super) fn acted_on(&mut self, from: usize, call: u64, to: usize, act: desk::Act) {
+        if self.seats[to].desk.is_none() {
+            return;
+        }
+        if self.sabotage == Some(Sabotage::FenceOff) {
+            self.take_effect(to, &act);
+        }
+        self.number += 1;
+        let ask = self.number;
+        self.askers.insert(ask, Asker::Agent { seat: from, call });
+        self.give(to, Event::Act { ask, act });
+    }
+
+    fn reply_act(&mut self, from: usize, ask: u64, answer: Result<(), Stale>) {
+        if let Some(Asker::Agent { seat, call }) = self.askers.remove(&ask) {
+            if let Some(when) = self.arrives(from, seat) {
+                self.queue.push(when, Due::Acted { seat, call, answer: Some(answer) });
+            }
+        }
+    }
+
+    /// An act's caller hears of it, or not in time.
+    pub(super) fn acted(&mut self, seat: usize, call: u64, answer: Option<Result<(), Stale>>) {
+        if let Some(Call::Act { life, to, version }) = self.calls.remove(&call) {
+            if self.seats[seat].life == life {
+                self.give(seat, Event::Acted { to, version, answer });
+            }
+        }
+    }
+
+    fn answer(&mut self, from: usize, ask: u64, answer: Answer) {
+        match self.askers.remove(&ask) {
+            Some(Asker::Staff(call)) if call > 0 => self.history.steps.extend(match answer {
+                Answer::Done(before) => Some(Step::Done(call, before.map(|out| out.since_ms))),
+                Answer::Refused(_) => Some(Step::Refused(call)),
+                Answer::Tried(_) => None,
+            }),
+            Some(Asker::Agent { seat, call }) => {
+                if let Some(when) = self.arrives(from, seat) {
+                    self.queue.push(when, Due::Replied { seat, call, answer: Some(answer) });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Who forwarded an ask hears of it, or not in time.
+    pub(super) fn replied(&mut self, seat: usize, call: u64, answer: Option<Answer>) {
+        if let Some(Call::Ask { life, ask }) = self.calls.remove(&call) {
+            if self.seats[seat].life == life {
+                self.give(seat, Event::Forwarded { ask, answer });
+            }
+        }
+    }
+}
