Duties: a voter once removed stays removed, and a no is only said where nothing was tried

A knock of a removed voter that came late brought its old number back; a removal asked again took the one that had joined under the name since; a yes to a removal came from what a leader held itself, which may be old; an ask proposed by a voter that then lost its disk was refused elsewhere although it took effect.

Change: removed numbers and the requests that removed are part of the agreed state; whether a removal is done, an entry of the log answers; what was proposed once is never answered with no. Census and watch: the pure rooms (not wired yet).

--- a/fleet/src/bin/woodgap-agent/cli.rs
+++ b/fleet/src/bin/woodgap-agent/cli.rs
@@ -55,7 +55,7 @@
     VoterInit(VoterInit),
     /// Take the vote of an agent away, for good. Exit codes as of `out`
     ///
-    /// Done one at a time, and only while all other voters keep up.
+    /// Done one at a time, and only while all other voters keep up. One that still joins joins again: stop its agent first.
     VoterRemove(VoterRemove),
     /// Print a script that completes this command line in a shell
     Completions(Completions),
--- /dev/null
+++ b/fleet/src/census/watch.rs
@@ -0,0 +1,166 @@
+//! Owns which alarms should stand, by the sums at the holder of the watch. That each is said once, the agreed log sees to.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{Census, SLOT};
+use crate::duty::{Alarm, Raised};
+use crate::membership::Name;
+use crate::{micros, Micros};
+
+/// A share below this many requests a second says nothing.
+const FEW: u64 = 5;
+/// An agent that told longer ago than this, in milliseconds, is left out.
+const STALE_MS: u64 = 5_000;
+/// Groups of nodes with one list that are named in words, at most.
+const GROUPS: usize = 4;
+
+/// When to raise alarms.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// The fleet is jammed where more than this part is refused.
+    pub refused: f64,
+    /// For so long; it is over once less than half of that part was refused for as long.
+    pub refused_for: Duration,
+    /// Lists of servers differ between nodes for so long.
+    pub lists_for: Duration,
+    /// Starts of a node in a minute that are too many.
+    pub starts: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            refused: 0.05,
+            refused_for: Duration::from_secs(10),
+            lists_for: Duration::from_secs(15),
+            starts: 3,
+        }
+    }
+}
+
+/// What the watch has seen so far.
+#[derive(Debug)]
+pub struct Watch {
+    settings: Settings,
+    standing: BTreeMap<Alarm, Raised>,
+    differ_since: Option<Micros>,
+}
+
+impl Watch {
+    /// Nothing seen yet.
+    pub fn new(settings: Settings) -> Watch {
+        Watch { settings, standing: BTreeMap::new(), differ_since: None }
+    }
+
+    /// Another process watched until now: what stands by its word stands, until this one sees that it is over.
+    pub fn take_over(&mut self, standing: &BTreeMap<Alarm, Raised>) {
+        self.standing = standing.clone();
+        self.differ_since = None;
+    }
+
+    /// The alarms that should stand. `wall_ms` is for people.
+    pub fn look(&mut self, now: Micros, census: &Census, wall_ms: u64) -> &BTreeMap<Alarm, Raised> {
+        let mut wanted = BTreeMap::new();
+        wanted.extend(self.jam(census).map(|words| (Alarm::Jam, words)));
+        wanted.extend(self.lists(now, census).map(|words| (Alarm::Discovery, words)));
+        for row in census.rows(now) {
+            let alarm = Alarm::Flaps(row.name.clone());
+            let least = if self.standing.contains_key(&alarm) { 1 } else { self.settings.starts };
+            if row.starts >= least {
+                wanted.insert(alarm, format!("the node of {} started {} times in a minute", row.name, row.starts));
+            }
+        }
+        self.standing.retain(|alarm, _| wanted.contains_key(alarm));
+        for (alarm, words) in wanted {
+            self.standing.entry(alarm).or_insert(Raised { words, since_ms: wall_ms });
+        }
+        &self.standing
+    }
+
+    fn jam(&self, census: &Census) -> Option<String> {
+        let slots = micros(self.settings.refused_for).div_ceil(SLOT).max(1);
+        let sum = census.recent(slots as usize);
+        let seconds = slots * SLOT / 1_000_000;
+        if sum.requests() < FEW * seconds {
+            return None;
+        }
+        let part = sum.refused as f64 / sum.requests() as f64;
+        let most = if self.standing.contains_key(&Alarm::Jam) {
+            self.settings.refused / 2.0
+        } else {
+            self.settings.refused
+        };
+        let words = || format!("{:.0} % of requests refused for {seconds} s", part * 100.0);
+        (part > most).then(words)
+    }
+
+    fn lists(&mut self, now: Micros, census: &Census) -> Option<String> {
+        let mut by_list: BTreeMap<u64, (u64, Vec<Name>)> = BTreeMap::new();
+        for row in census.rows(now) {
+            let fresh = row.age_ms.is_some_and(|age| age < STALE_MS);
+            if let Some(gauges) = row.now.map(|now| now.gauges).filter(|gauges| fresh && gauges.list != 0) {
+                by_list.entry(gauges.list).or_insert((gauges.discovered, Vec::new())).1.push(row.name);
+            }
+        }
+        if by_list.len() < 2 {
+            self.differ_since = None;
+            return None;
+        }
+        let since = *self.differ_since.get_or_insert(now);
+        let standing = self.standing.contains_key(&Alarm::Discovery);
+        if !standing && now < since + micros(self.settings.lists_for) {
+            return None;
+        }
+        let mut groups: Vec<_> = by_list.into_values().collect();
+        groups.sort_by_key(|(_, names)| names.len());
+        let say = |(servers, names): &(u64, Vec<Name>)| {
+            let first: Vec<&str> = names.iter().take(3).map(Name::as_str).collect();
+            let more = if names.len() > 3 { format!(" and {} more", names.len() - 3) } else { String::new() };
+            format!("{}{more}: {servers} servers", first.join(", "))
+        };
+        let words: Vec<String> = groups.iter().take(GROUPS).map(say).collect();
+        Some(format!("nodes go by different lists of servers: {}", words.join("; ")))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::census::{Counts, Meter, Reading};
+    use crate::duty::Duty;
+
+    #[test]
+    fn a_jam_and_differing_lists_are_raised_once_and_end() {
+        let names: Vec<Name> = ["a", "b"].iter().map(|name| name.parse().unwrap()).collect();
+        let mut meters = [Meter::new(0), Meter::new(0)];
+        meters.iter_mut().for_each(|meter| meter.started(0));
+        let (mut census, mut watch) = (Census::default(), Watch::new(Settings::default()));
+        let (mut total, mut heard) = (Counts::default(), Vec::new());
+        for second in 1..120u64 {
+            let now = second * 1_000_000;
+            total.served += 10;
+            total.refused += if (30..50).contains(&second) { 2 } else { 0 };
+            for (at, meter) in meters.iter_mut().enumerate() {
+                let list = if at == 1 && (70..100).contains(&second) { 8 } else { 7 };
+                let mut reading = Reading { counts: total, ..Reading::default() };
+                (reading.gauges.list, reading.gauges.discovered) = (list, list);
+                meter.read(now, &reading);
+            }
+            for (name, look) in census.ask(now, Duty::Watch, 1, &names) {
+                let at = names.iter().position(|one| *one == name).unwrap();
+                let tally = meters[at].tally(now, &look, 1, Vec::new());
+                census.told(now, &name, tally);
+            }
+            let standing: Vec<Alarm> = watch.look(now, &census, 0).keys().cloned().collect();
+            if heard.last().is_none_or(|(_, before)| *before != standing) {
+                heard.push((second, standing));
+            }
+        }
+        let told: Vec<&[Alarm]> = heard.iter().map(|(_, alarms)| alarms.as_slice()).collect();
+        assert_eq!(told, [&[][..], &[Alarm::Jam], &[], &[Alarm::Discovery], &[]], "{heard:?}");
+        let at: Vec<u64> = heard.iter().map(|(second, _)| *second).collect();
+        assert!((35..60).contains(&at[1]) && at[2] < 80, "a jam from 30 to 50: {at:?}");
+        assert!((84..90).contains(&at[3]) && (99..104).contains(&at[4]), "lists from 70 to 100: {at:?}");
+    }
+}
--- a/fleet/src/duty/command.rs
+++ b/fleet/src/duty/command.rs
@@ -96,6 +96,8 @@
         /// Its id.
         server: String,
     },
+    /// Changes nothing: whoever asks learns what holds at its place in the log.
+    Look,
     /// The watcher raises an alarm, or clears it with `None`.
     Alarm {
         /// Which.
--- a/fleet/src/duty/desk/asks.rs
+++ b/fleet/src/duty/desk/asks.rs
@@ -181,6 +181,9 @@
             self.forward(ask, to, actions);
             return None;
         }
+        if let (Some(open), Wish::Out { .. } | Wish::Back { .. }) = (self.asks.open.get_mut(&ask), &wish) {
+            open.tried = true;
+        }
         match wish {
             Wish::Out { server, out } => {
                 self.propose(now, &Command { id, what: What::Out { server, out } }, actions);
@@ -188,8 +191,16 @@
             Wish::Back { server } => {
                 self.propose(now, &Command { id, what: What::Back { server } }, actions);
             }
-            Wish::AddVoter { id, name } if self.leads() => return self.add_voter(now, id, &name, actions),
-            Wish::RemoveVoter(name) if self.leads() => return self.remove_voter(now, &name, actions),
+            Wish::AddVoter { id: voter, name } if self.leads() => {
+                let refused = self.add_voter(now, voter, &name, actions);
+                self.propose(now, &Command { id, what: What::Look }, actions);
+                return refused;
+            }
+            Wish::RemoveVoter(name) if self.leads() => {
+                let refused = self.remove_voter(now, id, &name, actions);
+                self.propose(now, &Command { id, what: What::Look }, actions);
+                return refused;
+            }
             Wish::AddVoter { .. } | Wish::RemoveVoter(_) => {
                 let leader = self.leader();
                 self.forward(ask, leader, actions);
@@ -213,6 +224,22 @@
         None
     }
 
+    /// The log has answered whether a change of the voters is done.
+    pub(super) fn looked(&mut self, id: CommandId, actions: &mut Vec<Action>) {
+        let Some(ask) = self.asks.by_command.get(&id).copied() else { return };
+        let done = match self.asks.open.get(&ask).map(|open| &open.request.wish) {
+            Some(Wish::AddVoter { id: voter, .. }) => self.state.voters.contains_key(voter),
+            Some(Wish::RemoveVoter(name)) => {
+                let mut known = self.state.voters.values().chain(self.state.learners.values());
+                self.state.has_removed(&id) || !known.any(|voter| voter == name)
+            }
+            _ => false,
+        };
+        if done {
+            self.asks.close(ask, Answer::Done(None), actions);
+        }
+    }
+
     fn forward(&mut self, ask: u64, to: Option<Name>, actions: &mut Vec<Action>) {
         let (Some(open), Some(to)) = (self.asks.open.get_mut(&ask), to) else { return };
         if to != self.me.name && !std::mem::replace(&mut open.away, true) {
--- a/fleet/src/duty/desk/mod.rs
+++ b/fleet/src/duty/desk/mod.rs
@@ -324,7 +324,8 @@
         self.members.iter().any(|member| member.name == *name)
     }
 
-    fn leads(&self) -> bool {
+    /// Whether this voter leads the agreed log, by its own word.
+    pub fn leads(&self) -> bool {
         self.voter.as_ref().is_some_and(|(_, voter)| voter.leads().is_some())
     }
 
@@ -395,6 +396,8 @@
             What::Alarm { alarm, raised } if outcome == Outcome::Done && command.id.0 == self.me.process => {
                 actions.push(Action::Say { alarm: alarm.clone(), raised: raised.clone() });
             }
+            // What holds at this place of the log holds at a majority: a leader that is none any more gets no such place.
+            What::Look => return self.looked(command.id, actions),
             _ => {}
         }
         self.asks.applied(&command, outcome, actions);
--- a/fleet/src/duty/desk/voters.rs
+++ b/fleet/src/duty/desk/voters.rs
@@ -6,7 +6,7 @@
 
 use super::{Action, Answer, Desk, Request, Wish};
 use crate::agreement::{self, Change, Kept, Role, VoterId};
-use crate::duty::{CommandId, State};
+use crate::duty::{CommandId, Context, State};
 use crate::membership::Name;
 use crate::Micros;
 
@@ -134,8 +134,8 @@
         others.into_iter().all(|id| voter.lacks(*id).is_some_and(|lacks| lacks <= KEEPS_UP))
     }
 
-    fn change(&mut self, now: Micros, to: Role, id: VoterId, name: &Name, actions: &mut Vec<Action>) {
-        let context = postcard::to_stdvec(name).unwrap_or_default();
+    fn change(&mut self, now: Micros, to: Role, id: VoterId, context: Context, actions: &mut Vec<Action>) {
+        let context = postcard::to_stdvec(&context).unwrap_or_default();
         self.vote(now, agreement::Event::Change(Change { to, id, context }), actions);
     }
 
@@ -146,12 +146,12 @@
         let learner = self.state.learners.iter().find(|(id, _)| ready(id));
         if let Some((id, name)) = learner.map(|(id, name)| (*id, name.clone())) {
             if self.keep_up(id) {
-                self.change(now, Role::Voter, id, &name, actions);
+                self.change(now, Role::Voter, id, Context { name, request: None }, actions);
             }
         }
     }
 
-    /// The leader's step towards one more voter; an answer where there is one already.
+    /// The leader's step towards one more voter; an answer where it can't be.
     pub(super) fn add_voter(
         &mut self,
         now: Micros,
@@ -160,7 +160,10 @@
         actions: &mut Vec<Action>,
     ) -> Option<Answer> {
         if self.state.voters.contains_key(&id) {
-            return Some(Answer::Done(None));
+            return None;
+        }
+        if self.state.is_gone(id) {
+            return Some(Answer::Refused(format!("this store of {name} was removed: make a new one")));
         }
         if self.state.voters.values().any(|voter| voter == name) {
             return Some(Answer::Refused(format!(
@@ -168,24 +171,29 @@
             )));
         }
         let stale = self.state.learners.iter().find(|(other, voter)| **other != id && *voter == name);
+        let context = Context { name: name.clone(), request: None };
         match stale.map(|(other, _)| *other) {
             // A store that was given up before it had a vote.
-            Some(other) => self.change(now, Role::Gone, other, name, actions),
+            Some(other) => self.change(now, Role::Gone, other, context, actions),
             None if self.state.learners.contains_key(&id) => {}
-            None => self.change(now, Role::Learner, id, name, actions),
+            None => self.change(now, Role::Learner, id, context, actions),
         }
         None
     }
 
-    /// The leader's step towards one voter less.
+    /// The leader's step towards one voter less; an answer where it can't be.
     pub(super) fn remove_voter(
         &mut self,
         now: Micros,
+        request: CommandId,
         name: &Name,
         actions: &mut Vec<Action>,
     ) -> Option<Answer> {
+        if self.state.has_removed(&request) {
+            return None;
+        }
         let known = self.state.voters.iter().chain(&self.state.learners).find(|(_, voter)| *voter == name);
-        let Some(id) = known.map(|(id, _)| *id) else { return Some(Answer::Done(None)) };
+        let id = known.map(|(id, _)| *id)?;
         let others = self.state.voters.keys().filter(|voter| **voter != id).count();
         if others == 0 {
             return Some(Answer::Refused(format!("{name} is the last voter")));
@@ -194,7 +202,8 @@
             // The next leader removes it.
             self.vote(now, agreement::Event::StepDown, actions);
         } else if self.keep_up(id) {
-            self.change(now, Role::Gone, id, name, actions);
+            let context = Context { name: name.clone(), request: Some(request) };
+            self.change(now, Role::Gone, id, context, actions);
         }
         None
     }
--- a/fleet/src/duty/mod.rs
+++ b/fleet/src/duty/mod.rs
@@ -12,6 +12,7 @@
 pub use fence::{Fence, Stale};
 pub use holder::Holder;
 pub use keeper::{Candidate, Keeper};
+use state::Context;
 pub use state::{Held, Raised, State};
 
 use std::time::Duration;
--- a/fleet/src/duty/state.rs
+++ b/fleet/src/duty/state.rs
@@ -13,11 +13,22 @@
 const REMEMBERED: usize = 1_024;
 /// Servers out, at most.
 const MOST_OUT: usize = 1_000;
+/// Removals of voters remembered by request.
+const REMOVALS: usize = 64;
 /// Changes of hands remembered for staff.
 const CHANGES: usize = 32;
 /// The form of a state in a snapshot: the first byte.
 const FORMAT: u8 = 1;
 
+/// What goes with a change of who votes.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Context {
+    /// The voter's name.
+    pub name: Name,
+    /// The request that removes it.
+    pub request: Option<CommandId>,
+}
+
 /// A duty that is held.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Held {
@@ -62,6 +73,10 @@
     /// The entry that last changed the servers out or the voters: a version that grows.
     pub version: u64,
     done: VecDeque<(CommandId, Outcome)>,
+    /// Requests by which voters were removed: one that is tried again must not remove whoever joined under the name since.
+    removals: VecDeque<CommandId>,
+    /// Stores that were removed: a knock of theirs that comes late must not bring them back.
+    gone: VecDeque<VoterId>,
 }
 
 impl State {
@@ -114,7 +129,22 @@
         self.version = index;
         self.voters.remove(&change.id);
         let learner = self.learners.remove(&change.id);
-        let name = postcard::from_bytes::<Name>(&change.context).ok().or(learner);
+        let (name, request) = match postcard::from_bytes::<Context>(&change.context) {
+            Ok(Context { name, request }) => (Some(name), request),
+            Err(_) => (learner, None),
+        };
+        if let Some(request) = request {
+            if self.removals.len() >= REMOVALS {
+                self.removals.pop_front();
+            }
+            self.removals.push_back(request);
+        }
+        if change.to == Role::Gone {
+            if self.gone.len() >= REMOVALS {
+                self.gone.pop_front();
+            }
+            self.gone.push_back(change.id);
+        }
         match (change.to, name) {
             (Role::Learner, Some(name)) => drop(self.learners.insert(change.id, name)),
             (Role::Voter, Some(name)) => drop(self.voters.insert(change.id, name)),
@@ -122,6 +152,16 @@
         }
     }
 
+    /// Whether that request has removed a voter.
+    pub fn has_removed(&self, request: &CommandId) -> bool {
+        self.removals.contains(request)
+    }
+
+    /// Whether that voter's store was removed before.
+    pub fn is_gone(&self, id: VoterId) -> bool {
+        self.gone.contains(&id)
+    }
+
     fn carry_out(&mut self, index: u64, what: &What) -> Outcome {
         match what {
             What::Give { duty, to, process, after, renewals, at_ms } => {
@@ -182,6 +222,7 @@
                 }
                 Outcome::Set(before)
             }
+            What::Look => Outcome::Done,
             What::Alarm { alarm, raised } => match raised {
                 Some(raised) if !self.alarms.contains_key(alarm) => {
                     drop(self.alarms.insert(alarm.clone(), raised.clone()));
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 pub mod agreement;
+pub mod census;
 pub mod config;
 pub mod duty;
 pub mod host;
--- a/lab/src/plane/duties/carry.rs
+++ b/lab/src/plane/duties/carry.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 use woodgap_fleet::agreement::Save;
-use woodgap_fleet::duty::desk::{self, Action, Answer, Event};
+use woodgap_fleet::duty::desk::{self, Action, Answer, Desk, Event};
 use woodgap_fleet::duty::Stale;
 use woodgap_fleet::Micros;
 
@@ -88,7 +88,8 @@
                 self.reply_act(at, ask, Err(stale));
             }
             Action::Leader { term, leader } => {
-                if leader.is_some_and(|leader| seat_of(&leader) == at) {
+                // By its own word: another store of the same name may have led before.
+                if leader.is_some() && self.seats[at].desk.as_ref().is_some_and(Desk::leads) {
                     self.history.led.push((term, process(at, life)));
                 }
             }
@@ -163,6 +164,12 @@
                 Answer::Refused(_) => Some(Step::Refused(call)),
                 Answer::Tried(_) => None,
             }),
+            Some(Asker::Replace(seat, id)) if answer.is_done() => {
+                // A late yes of an ask before the last: the store is another by now.
+                if self.seats[seat].store.as_ref().is_some_and(|store| store.id == id) {
+                    self.removed.insert(seat);
+                }
+            }
             Some(Asker::Agent { seat, call }) => {
                 if let Some(when) = self.arrives(from, seat) {
                     self.queue.push(when, Due::Replied { seat, call, answer: Some(answer) });
--- a/lab/src/plane/duties/world.rs
+++ b/lab/src/plane/duties/world.rs
@@ -1,11 +1,11 @@
 //! Owns the agents of a play and the time: who runs, who is paused, who reaches whom, and what is due when.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use woodgap_fleet::agreement::{Kept, Save};
+use woodgap_fleet::agreement::{Kept, Save, VoterId};
 use woodgap_fleet::duty::desk::{
     self, founded, joining_id, voter_id, Answer, Desk, Event, Member, Request, Wish,
 };
@@ -53,6 +53,8 @@
 /// Who is to get an answer of a desk's.
 pub(super) enum Asker {
     Staff(u64),
+    /// Staff that replace the voter of a seat, which has that store.
+    Replace(usize, VoterId),
     Agent { seat: usize, call: u64 },
 }
 
@@ -73,6 +75,8 @@
     pub(super) calls: BTreeMap<u64, Call>,
     pub(super) askers: BTreeMap<u64, Asker>,
     replaced: usize,
+    /// Seats whose removal from the voters got a yes.
+    pub(super) removed: BTreeSet<usize>,
     pub(super) history: History,
 }
 
@@ -124,6 +128,7 @@
             calls: BTreeMap::new(),
             askers: BTreeMap::new(),
             replaced: 0,
+            removed: BTreeSet::new(),
             history: History { voters, ..History::default() },
         };
         (0..world.seats.len()).for_each(|seat| world.start(seat));
@@ -234,33 +239,34 @@
         self.seats[at].wall += by_ms;
     }
 
-    /// Staff replace a voter, if all that should vote do: it is removed, and joins with a new store.
+    /// Staff replace a voter, if all that should vote do: it is removed, and once that got a yes, joins with a new store.
     pub fn replace(&mut self, at: usize) {
         if self.agreed_voters().len() == self.voters {
-            let asked = self.rng.random_range(0..self.seats.len());
-            self.ask(asked, Wish::RemoveVoter(name(at)), None);
+            self.remove(at);
             self.run(1_500_000);
         }
         self.join_removed();
     }
 
+    fn remove(&mut self, at: usize) {
+        let asked = self.rng.random_range(0..self.seats.len());
+        // One that is still joining would knock again after the yes.
+        if let Some(store) = self.seats[at].store.as_ref().filter(|store| store.kept.snapshot.index > 0) {
+            let asker = Asker::Replace(at, store.id);
+            self.ask(asked, Wish::RemoveVoter(name(at)), asker);
+        }
+    }
+
     /// Who votes, by the newest state that any agent has.
     fn agreed_voters(&self) -> Vec<Name> {
         let states = self.seats.iter().filter_map(|seat| Some(seat.desk.as_ref()?.state()));
         let newest = states.max_by_key(|state| state.index);
-        newest
-            .map(|state| state.voters.values().chain(state.learners.values()).cloned().collect())
-            .unwrap_or_default()
+        newest.map(|state| state.voters.values().cloned().collect()).unwrap_or_default()
     }
 
-    /// Voters that were removed get a new store, and join with it.
+    /// Voters that were removed for sure get a new store, and join with it.
     fn join_removed(&mut self) {
-        let agreed = self.agreed_voters();
-        for at in 0..self.voters {
-            let waits = self.seats[at].store.as_ref().is_none_or(|store| store.kept.snapshot.index > 0);
-            if agreed.is_empty() || agreed.contains(&name(at)) || !waits {
-                continue;
-            }
+        for at in std::mem::take(&mut self.removed) {
             self.kill(at, 100_000);
             let id = joining_id(&name(at), self.rng.random());
             self.seats[at].store = Some(Store { id, kept: Kept::default(), full: false });
@@ -284,20 +290,20 @@
             (Op::Back, Wish::Back { server: server.clone() })
         };
         self.history.steps.push(Step::Asked { call, server, op });
-        self.ask(at, wish, Some(call));
+        self.ask(at, wish, Asker::Staff(call));
     }
 
     /// Staff ask for another holder.
     pub fn call_yield(&mut self) {
         let at = self.rng.random_range(0..self.seats.len());
         let duty = DUTIES[self.rng.random_range(0..DUTIES.len())];
-        self.ask(at, Wish::Yield(duty), None);
+        self.ask(at, Wish::Yield(duty), Asker::Staff(0));
     }
 
-    fn ask(&mut self, at: usize, wish: Wish, call: Option<u64>) {
+    fn ask(&mut self, at: usize, wish: Wish, asker: Asker) {
         self.number += 1;
         let ask = self.number;
-        self.askers.insert(ask, Asker::Staff(call.unwrap_or(0)));
+        self.askers.insert(ask, asker);
         self.give(at, Event::Asked { ask, wish });
     }
 
@@ -310,16 +316,23 @@
             }
             self.resume(at);
         }
+        for at in 0..self.seats.len() {
+            // One whose disk was full says nothing more until it starts again.
+            if self.seats[at].store.as_ref().is_some_and(|store| store.full) {
+                self.kill(at, 50_000);
+            }
+        }
         for _ in 0..4 {
             self.run(1_500_000);
-            self.join_removed();
-            for at in 0..self.seats.len() {
-                // One whose disk was full says nothing more until it starts again.
-                let silent = self.seats[at].store.as_ref().is_some_and(|store| store.full);
-                if silent {
-                    self.kill(at, 50_000);
+            // One that was removed without a yes: asked again, it is known.
+            let agreed = self.agreed_voters();
+            for at in 0..self.voters {
+                if !agreed.is_empty() && !agreed.contains(&name(at)) {
+                    self.remove(at);
                 }
             }
+            self.run(1_500_000);
+            self.join_removed();
         }
     }
 
