Duties: a sole voter says that it leads only once its vote is kept; measurements and docs

A yield asked of a voter that lagged behind was answered by an older change of hands.

Change: a leader is told only once nothing waits for the disk; the log says which holder a yield means. An agent that leaves no longer warns that it is back.

--- a/fleet/src/agreement/voter.rs
+++ b/fleet/src/agreement/voter.rs
@@ -320,7 +320,8 @@
             }
         }
         let now = (self.raw.raft.term, self.raw.raft.leader_id);
-        if now != self.leader {
+        // A voter that is alone elects itself before its vote is kept: told any sooner, it could lead that term twice.
+        if now != self.leader && self.saving.is_none() {
             self.leader = now;
             actions.push(Action::Leader { term: now.0, leader: self.leader() });
         }
--- a/fleet/src/duty/desk/asks.rs
+++ b/fleet/src/duty/desk/asks.rs
@@ -208,18 +208,19 @@
                 self.forward(ask, leader, actions);
             }
             Wish::Yield(duty) => {
-                let held = self.state.held.get(&duty).cloned();
-                let (Some(held), false) = (held, token.is_some_and(|token| self.state.token(duty) > token))
-                else {
-                    return token.map(|_| Answer::Done(None));
+                let Some(token) = token else {
+                    // Which holder is meant, the log says: what is known here may be old.
+                    self.propose(now, &Command { id, what: What::Look }, actions);
+                    return None;
                 };
-                if let Some(open) = self.asks.open.get_mut(&ask) {
-                    open.token = Some(token.unwrap_or(held.token));
+                if self.state.token(duty) > token {
+                    return Some(Answer::Done(None));
                 }
-                if held.process == self.me.process {
-                    self.release(now, duty, Why::Asked);
-                } else {
-                    self.forward(ask, Some(held.holder), actions);
+                match self.state.held.get(&duty).cloned() {
+                    Some(held) if held.process == self.me.process => self.release(now, duty, Why::Asked),
+                    Some(held) => self.forward(ask, Some(held.holder), actions),
+                    // It is about to be given.
+                    None => {}
                 }
             }
         }
@@ -235,6 +236,13 @@
                 let mut known = self.state.voters.values().chain(self.state.learners.values());
                 self.state.has_removed(&id) || !known.any(|voter| voter == name)
             }
+            Some(Wish::Yield(duty)) => {
+                let token = self.state.token(*duty);
+                if let Some(open) = self.asks.open.get_mut(&ask).filter(|open| open.token.is_none()) {
+                    (open.token, open.again) = (Some(token), 0);
+                }
+                false
+            }
             _ => false,
         };
         if done {
--- a/fleet/src/duty/desk/mod.rs
+++ b/fleet/src/duty/desk/mod.rs
@@ -3,16 +3,17 @@
 
 mod acts;
 mod asks;
+mod events;
 mod report;
 mod voters;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::{
-    Alarm, Candidate, Change, Command, CommandId, Duty, Fence, Holder, Keeper, Lease, Outcome, Raised, Stale,
-    State, What, Why, DUTIES,
+    Alarm, Candidate, Command, CommandId, Duty, Fence, Holder, Keeper, Outcome, Raised, Stale, State, What,
+    Why, DUTIES,
 };
-use crate::agreement::{self, Content, Kept, Save, Voter, VoterError, VoterId};
+use crate::agreement::{self, Content, Voter, VoterError, VoterId};
 use crate::membership::Name;
 use crate::Micros;
 
@@ -20,6 +21,7 @@
 use acts::Acts;
 use asks::Asks;
 pub use asks::{Answer, Request, Wish};
+pub use events::{Action, Event, Member, Start};
 pub use report::{DeskReport, DutyReport};
 pub use voters::{founded, joining_id, voter_id};
 use voters::{Joining, Letter};
@@ -31,176 +33,6 @@
 /// An agent that stops waits so long for others to take over.
 const FAREWELL: Micros = 2_000_000;
 
-/// A member as the desk needs it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Member {
-    /// Its name.
-    pub name: Name,
-    /// Its process.
-    pub process: u64,
-    /// Its zone.
-    pub zone: String,
-}
-
-/// What a desk starts with.
-pub struct Start {
-    /// This agent.
-    pub me: Member,
-    /// The names of the voters, as far as known without a vote; empty for a fleet without duties.
-    pub voters: Vec<Name>,
-    /// Leases.
-    pub lease: Lease,
-    /// The agreed log's pace.
-    pub tick: std::time::Duration,
-    /// Steps without a leader before an election.
-    pub election_ticks: usize,
-    /// Entries after which the log is cut to a snapshot.
-    pub compact_after: u64,
-    /// This voter's number and what it kept; `None` where it has no vote, or has lost what it kept.
-    pub kept: Option<(VoterId, Kept)>,
-    /// The fence, as kept.
-    pub fence: Fence,
-    /// For the election time-out.
-    pub seed: u64,
-}
-
-/// What the desk learns.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Another voter's message.
-    Message(Vec<u8>),
-    /// A save is on disk for good.
-    Saved(u64),
-    /// A save failed: this voter promises nothing any more.
-    NotSaved,
-    /// The members present, this agent among them.
-    Members(Vec<Member>),
-    /// Staff ask this agent for something.
-    Asked {
-        /// Comes back with the answer.
-        ask: u64,
-        /// What.
-        wish: Wish,
-    },
-    /// Another agent asks for its staff, under its own id.
-    Request {
-        /// Comes back with the answer.
-        ask: u64,
-        /// What.
-        request: Request,
-    },
-    /// An agent that asked another for its staff got an answer, or none.
-    Forwarded {
-        /// The ask.
-        ask: u64,
-        /// The answer.
-        answer: Option<Answer>,
-    },
-    /// A holder acts on this agent.
-    Act {
-        /// Comes back with the answer.
-        ask: u64,
-        /// What.
-        act: Act,
-    },
-    /// An act of this agent's came to its end.
-    Acted {
-        /// At whom.
-        to: Name,
-        /// Which version it brought.
-        version: u64,
-        /// What the other said; `None` for no answer.
-        answer: Option<Result<(), Stale>>,
-    },
-    /// The alarms that should stand now, by the watcher's own look.
-    Observed(BTreeMap<Alarm, Raised>),
-    /// This agent stops: what it holds is to go to others first.
-    Stop,
-    /// The time of [`Desk::next_wake`] has come.
-    Wake {
-        /// The wall clock in milliseconds: for the ends that staff gave, and for people.
-        wall_ms: u64,
-    },
-}
-
-/// What the host is to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Send to another voter.
-    Send {
-        /// Whom.
-        to: Name,
-        /// What.
-        bytes: Vec<u8>,
-    },
-    /// Keep, for good, before [`Event::Saved`] is said.
-    Save {
-        /// Its number.
-        number: u64,
-        /// What.
-        save: Save,
-    },
-    /// Ask another agent on behalf of one's staff.
-    Forward {
-        /// The ask.
-        ask: u64,
-        /// Whom.
-        to: Name,
-        /// What.
-        request: Request,
-    },
-    /// Answer an ask.
-    Answer {
-        /// Which.
-        ask: u64,
-        /// What.
-        answer: Answer,
-    },
-    /// Act on another agent.
-    Act {
-        /// Whom.
-        to: Name,
-        /// What.
-        act: Act,
-    },
-    /// Keep the fence, bring the node to this, and answer the ask with yes: in this order.
-    Enforce {
-        /// Which.
-        ask: u64,
-        /// What.
-        act: Act,
-        /// To be kept first.
-        fence: Fence,
-    },
-    /// An act of an older token: nothing is done.
-    Refuse {
-        /// Which.
-        ask: u64,
-        /// Why.
-        stale: Stale,
-    },
-    /// A duty changed hands, for logs.
-    Moved(Change),
-    /// An alarm was raised, or is over: for staff, once in the fleet.
-    Say {
-        /// Which.
-        alarm: Alarm,
-        /// What; `None` where it is over.
-        raised: Option<Raised>,
-    },
-    /// Who leads the agreed log, for logs.
-    Leader {
-        /// The term.
-        term: u64,
-        /// Who.
-        leader: Option<Name>,
-    },
-    /// This agent has no vote any more: staff removed it, or its state can't be read.
-    VoteLost(&'static str),
-    /// Nothing is held here any more: this agent may go.
-    HandedOver,
-}
-
 /// One agent's part in the duties.
 pub struct Desk {
     me: Member,
@@ -394,8 +226,9 @@
                     }
                 },
                 agreement::Action::Leader { term, leader } => {
+                    let here = leader == Some(me);
                     let leader = leader.and_then(|id| self.name_of(id));
-                    actions.push(Action::Leader { term, leader });
+                    actions.push(Action::Leader { term, leader, here });
                 }
                 agreement::Action::Compact(conf) => {
                     let (index, data) = (self.state.index, self.state.to_bytes());
--- a/fleet/src/duty/desk/voters.rs
+++ b/fleet/src/duty/desk/voters.rs
@@ -101,11 +101,9 @@
         let conf = voter.conf();
         if conf.voters.contains(&id) || conf.learners.contains(&id) {
             // Others that are ahead say who votes now: it may have been removed while it was away.
-            let newer = self.acts.version() > self.state.version;
-            if newer && !self.acts.voters().is_empty() && !self.acts.voters().contains(&self.me.name) {
-                if conf.voters.contains(&id) {
-                    self.lose_vote("staff removed this voter", actions);
-                }
+            let newer = self.acts.version() > self.state.version && !self.acts.voters().is_empty();
+            if newer && conf.voters.contains(&id) && !self.acts.voters().contains(&self.me.name) {
+                self.lose_vote("staff removed this voter", actions);
             }
             return;
         }
--- a/fleet/src/host/duties.rs
+++ b/fleet/src/host/duties.rs
@@ -86,7 +86,7 @@
                     self.handed_over = true;
                     self.leave();
                 }
-                duty::Action::Leader { term, leader } => {
+                duty::Action::Leader { term, leader, .. } => {
                     let leader = leader.as_ref().map_or("nobody", Name::as_str);
                     info!(term, leader, "leader of the agreed log");
                 }
--- a/fleet/src/membership/core/exchange.rs
+++ b/fleet/src/membership/core/exchange.rs
@@ -315,6 +315,9 @@
         self.me = identity;
         self.incarnation = 0;
         self.publish();
-        actions.push(Action::Tell(Change::Rejoined(generation)));
+        // One that leaves is told so by those who have taken it down from their lists: nothing that staff need to know.
+        if !matches!(self.phase, Phase::Leaving { .. }) {
+            actions.push(Action::Tell(Change::Rejoined(generation)));
+        }
     }
 }
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -219,6 +219,9 @@
     /// Check the lease in every state up to so many halves of a lease instead; 4 take half a minute, 5 all memory
     #[arg(long, value_name = "STEPS", value_parser = clap::value_parser!(u64).range(3..=5))]
     pub model: Option<u64>,
+    /// Measure on real processes of this agent's program instead, with as many kills as plays; loopback only
+    #[arg(long, value_name = "FILE", conflicts_with = "model")]
+    pub agent: Option<PathBuf>,
 }
 
 /// What is measured of the fleet plane.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -73,6 +73,9 @@
         );
         return Ok(ExitCode::from(if found.is_empty() { 0 } else { BROKEN }));
     }
+    if let Some(program) = &wanted.agent {
+        return measure_duties(program, wanted.plays as usize);
+    }
     let voters = usize::from(wanted.voters);
     let (start, end) = (std::time::Instant::now(), wanted.from.saturating_add(wanted.plays));
     let (mut changes, mut refused, mut calls, mut replaced, mut broken) = (0, 0, 0, 0, 0);
@@ -98,6 +101,24 @@
     Ok(ExitCode::from(if broken > 0 { BROKEN } else { 0 }))
 }
 
+/// Agents in virtual time, and calls, for the time until all have a server out.
+const OUT: (usize, usize) = (30, 200);
+
+fn measure_duties(program: &Path, kills: usize) -> Result<ExitCode, Box<dyn Error>> {
+    use woodgap_lab::plane::duties::measure;
+    let mut out = stdout().lock();
+    let virt = measure::out(OUT.0, OUT.1);
+    writeln!(out, "{} agents in virtual time: a server out at all {virt:?} ms", OUT.0)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let real = runtime.block_on(measure::real(program, kills))?;
+    writeln!(out, "real processes: held again after a death {:?} ms", real.failover)?;
+    writeln!(out, "  a server out at all of 5 {:?} ms", real.out)?;
+    writeln!(out, "  {:.0} calls a second one by one, {:.0} at once", real.calls.0, real.calls.1)?;
+    let (voter, other) = real.rest;
+    writeln!(out, "  at rest {voter:.1} ms of CPU a second at a voter, {other:.1} without a vote")?;
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Members of the real fleet.
 const REAL: usize = 5;
 
--- a/lab/src/plane/duties/mod.rs
+++ b/lab/src/plane/duties/mod.rs
@@ -5,8 +5,10 @@
 mod carry;
 mod check;
 mod faults;
+pub mod measure;
 pub mod model;
 mod seat;
+mod staff;
 mod world;
 
 use rayon::prelude::*;
