--- a/fleet/src/duty/desk/events.rs
+++ b/fleet/src/duty/desk/events.rs
@@ -92,7 +92,7 @@
     Observed(BTreeMap<Alarm, Raised>),
     /// This agent stops: what it holds is to go to others first.
     Stop,
-    /// The time of [`Desk::next_wake`] has come.
+    /// The time of [`Desk::next_wake`](super::Desk::next_wake) has come.
     Wake {
         /// The wall clock in milliseconds: for the ends that staff gave, and for people.
         wall_ms: u64,
