Fleet: one place for whom to ask, how often, the newest state and the wall clock

Need: reading the change once more, the list of other present voters stood in three places, the census' interval in two, a play's newest state in three, and the wall clock in milliseconds in three; a test wrote the same late act twice.

Change: other_voters, every, newest and have_out, and wall_ms are called instead. Behaviour stays as it is.

--- a/fleet/src/census/sums.rs
+++ b/fleet/src/census/sums.rs
@@ -88,7 +88,7 @@
             *self = Census { token, newest: now / SLOT, ..Census::default() };
         }
         self.seen.retain(|name, _| present.contains(name));
-        let every = EVERY.max(present.len() as u64 * 1_000_000 / A_SECOND);
+        let every = every(present.len());
         let mut looks = Vec::new();
         for name in present {
             let seen = self.seen.entry(name.clone()).or_default();
@@ -102,7 +102,7 @@
 
     /// An agent has told.
     pub fn told(&mut self, now: Micros, name: &Name, tally: Tally) {
-        let present = self.seen.len() as u64;
+        let every = every(self.seen.len());
         self.turn(now);
         let Some(seen) = self.seen.get_mut(name) else { return };
         let known = if seen.process == tally.process { seen.slot } else { 0 };
@@ -123,7 +123,7 @@
         }
         (seen.now, seen.starts, seen.by_hand) = (tally.now, tally.starts, tally.by_hand);
         seen.told = Some(now);
-        seen.next = now + EVERY.max(present * 1_000_000 / A_SECOND);
+        seen.next = now + every;
     }
 
     /// Makes room for the slots of now.
@@ -185,6 +185,11 @@
     }
 }
 
+/// How often each of so many agents is asked.
+fn every(present: usize) -> Micros {
+    EVERY.max(present as Micros * 1_000_000 / A_SECOND)
+}
+
 fn sum(slots: &[&Counts]) -> Counts {
     let mut sum = Counts::default();
     slots.iter().for_each(|counts| sum.add(counts));
--- a/fleet/src/duty/desk/asks.rs
+++ b/fleet/src/duty/desk/asks.rs
@@ -175,9 +175,7 @@
         actions: &mut Vec<Action>,
     ) -> Option<Answer> {
         if self.voter.is_none() {
-            let others =
-                self.voters().into_iter().filter(|name| *name != self.me.name && self.is_present(name));
-            let others: Vec<Name> = others.collect();
+            let others = self.other_voters();
             // Another one each time.
             let to = others.get((ask + now / AGAIN) as usize % others.len().max(1)).cloned();
             self.forward(ask, to, actions);
--- a/fleet/src/duty/desk/mod.rs
+++ b/fleet/src/duty/desk/mod.rs
@@ -124,10 +124,9 @@
 
     /// Who is to be asked about a duty: its holder, or a voter that may know it.
     pub fn whom_to_ask(&self, duty: Duty) -> Option<Name> {
-        let others = self.voters().into_iter().filter(|name| *name != self.me.name && self.is_present(name));
         match self.state.held.get(&duty) {
             Some(held) => Some(held.holder.clone()).filter(|holder| *holder != self.me.name),
-            None => others.min_by(|one, other| one.as_str().cmp(other.as_str())),
+            None => self.other_voters().into_iter().min_by(|one, other| one.as_str().cmp(other.as_str())),
         }
     }
 
--- a/fleet/src/duty/desk/voters.rs
+++ b/fleet/src/duty/desk/voters.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Other voters that are present: whom this agent may ask.
+    pub(super) fn other_voters(&self) -> Vec<Name> {
+        let others = self.voters().into_iter().filter(|name| *name != self.me.name && self.is_present(name));
+        others.collect()
+    }
+
     pub(super) fn leader(&self) -> Option<Name> {
         let (_, voter) = self.voter.as_ref()?;
         self.name_of(voter.leader()?)
@@ -115,8 +121,7 @@
         }
         self.joining.next_knock = now + KNOCK;
         self.joining.knocks += 1;
-        let others = self.voters().into_iter().filter(|name| *name != self.me.name && self.is_present(name));
-        let others: Vec<Name> = others.collect();
+        let others = self.other_voters();
         let Some(to) = others.get(self.joining.knocks % others.len().max(1)).cloned() else { return };
         let wish = Wish::AddVoter { id, name: self.me.name.clone() };
         self.number += 1;
--- a/fleet/src/host/mod.rs
+++ b/fleet/src/host/mod.rs
@@ -17,7 +17,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use nix::sys::signal::Signal;
 use rand::random;
@@ -203,7 +202,6 @@
 }
 
 fn start_of(config: &Config) -> Start {
-    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
     let record = Record {
         name: config.name.clone(),
         generation: 0,
@@ -215,7 +213,7 @@
         machine: config.machine.clone(),
         zone: config.zone.clone(),
         program: env!("CARGO_PKG_VERSION").into(),
-        started_ms: started.as_millis() as u64,
+        started_ms: desk::wall_ms(),
         node: NodeState::Stopped,
         left: false,
         formats: config.membership.formats,
--- a/fleet/src/host/operators.rs
+++ b/fleet/src/host/operators.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -16,6 +16,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
+use super::desk::wall_ms;
 use super::{wire, Msg};
 use crate::duty::desk::{Answer, Wish};
 use crate::duty::Out;
@@ -128,8 +129,7 @@
         "" => None,
         text => Some(text.parse().map_err(|_| format!("until_ms: '{text}' is no time in milliseconds"))?),
     };
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Ok(Wish::Out { server, out: Out { who, why, since_ms: since.as_millis() as u64, until_ms } })
+    Ok(Wish::Out { server, out: Out { who, why, since_ms: wall_ms(), until_ms } })
 }
 
 /// 200 yes, 409 no and nothing was changed, 503 tried and not known.
--- a/fleet/tests/fleet/mod.rs
+++ b/fleet/tests/fleet/mod.rs
@@ -16,7 +16,7 @@
 const NODE: &str = "[node]\ncommand = [\"sleep\", \"600\"]\nconfig = \"none\"\nready-within = \"10m\"\n\
      silent-limit = \"10m\"\ndrain-within = \"1s\"\n";
 
-/// What the fences of agents have refused, and what a duty's tokens are.
+/// The newest token of each duty.
 pub fn tokens(reports: &[DeskReport]) -> Vec<u64> {
     (0..3).map(|at| reports.iter().map(|report| report.duties[at].token).max().unwrap()).collect()
 }
--- a/fleet/tests/voters.rs
+++ b/fleet/tests/voters.rs
@@ -81,14 +81,14 @@
     let (old, new) = (tokens(&before)[0], tokens(&after)[0]);
     assert!(new > old);
     // What it had sent arrives only now, and would put api-1 back.
-    let act = Act {
+    let act = Stream::Act(Act {
         duty: Duty::Maintenance,
         token: old,
         version: u64::MAX,
         out: Default::default(),
         voters: vec![],
-    };
-    let answer = call(fleet.agents.address(4), &Stream::Act(act)).await;
+    });
+    let answer = call(fleet.agents.address(4), &act).await;
     assert!(matches!(answer, Some(Stream::Acted(Err(stale))) if stale.token == old && stale.seen >= new));
     assert_eq!(
         (fleet.agents.duties(4).await.unwrap().refused, fleet.out_at(4)),
@@ -98,14 +98,7 @@
     fleet.agents.kill(4);
     fleet.start(4);
     fleet.agents.until_whole(&[others[0], others[1], 3, 4], AMPLE).await;
-    let act = Act {
-        duty: Duty::Maintenance,
-        token: old,
-        version: u64::MAX,
-        out: Default::default(),
-        voters: vec![],
-    };
-    let answer = call(fleet.agents.address(4), &Stream::Act(act)).await;
+    let answer = call(fleet.agents.address(4), &act).await;
     assert!(matches!(answer, Some(Stream::Acted(Err(_)))), "{answer:?}");
     assert_eq!(fleet.out_at(4), ["api-1"]);
 }
--- a/lab/src/plane/duties/staff.rs
+++ b/lab/src/plane/duties/staff.rs
@@ -32,9 +32,7 @@
 
     /// Who votes, by the newest state that any agent has.
     pub(super) fn agreed_voters(&self) -> Vec<Name> {
-        let states = self.seats.iter().filter_map(|seat| Some(seat.desk.as_ref()?.state()));
-        let newest = states.max_by_key(|state| state.index);
-        newest.map(|state| state.voters.values().cloned().collect()).unwrap_or_default()
+        self.newest().map(|state| state.voters.values().cloned().collect()).unwrap_or_default()
     }
 
     /// Voters that were removed for sure get a new store, and join with it.
--- a/lab/src/plane/duties/world.rs
+++ b/lab/src/plane/duties/world.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg64;
 use woodgap_fleet::agreement::{Kept, Save, VoterId};
 use woodgap_fleet::duty::desk::{self, founded, voter_id, Answer, Desk, Event, Member, Request};
-use woodgap_fleet::duty::{Duty, Lease, Stale, DUTIES};
+use woodgap_fleet::duty::{Duty, Lease, Stale, State, DUTIES};
 use woodgap_fleet::membership::Name;
 use woodgap_fleet::Micros;
 
@@ -288,12 +288,17 @@
     /// Whether every call is answered, and all agents have the servers out that are agreed on.
     pub fn all_have_it(&self) -> bool {
         let open = self.askers.values().any(|asker| matches!(asker, Asker::Staff(call) if *call > 0));
+        !open && self.newest().is_some_and(|state| self.have_out(state))
+    }
+
+    /// The newest state that any agent has.
+    pub(super) fn newest(&self) -> Option<&State> {
         let states = self.seats.iter().filter_map(|seat| Some(seat.desk.as_ref()?.state()));
-        let newest = states.max_by_key(|state| state.index);
-        !open
-            && newest.is_some_and(|state| {
-                self.seats.iter().all(|seat| seat.enforced.as_ref().is_some_and(|act| act.out == state.out))
-            })
+        states.max_by_key(|state| state.index)
+    }
+
+    fn have_out(&self, state: &State) -> bool {
+        self.seats.iter().all(|seat| seat.enforced.as_ref().is_some_and(|act| act.out == state.out))
     }
 
     /// The history, once a last call was tried.
@@ -310,10 +315,8 @@
         let desks = self.seats.iter().filter_map(|seat| seat.desk.as_ref());
         let votes = desks.filter(|desk| desk.report(0).votes);
         self.history.ends = votes.map(|desk| (desk.state().index, desk.state().voters.len())).collect();
-        let newest = self.seats.iter().filter_map(|seat| Some(seat.desk.as_ref()?.state()));
-        let Some(agreed) = newest.max_by_key(|state| state.index).cloned() else { return self.history };
-        let has = |seat: &Seat| seat.enforced.as_ref().is_some_and(|act| act.out == agreed.out);
-        self.history.brought = self.seats.iter().all(has);
+        let Some(agreed) = self.newest().cloned() else { return self.history };
+        self.history.brought = self.have_out(&agreed);
         for server in 0..5 {
             self.number += 1;
             let (call, server) = (self.number, format!("api-{server}"));
