A request whose client left while it waited is not sent on

Seen: a client that writes anything behind its request and leaves is not noticed; its request is tried again on other servers after each failed attempt, and a dial that was begun ends in a send where the settings forbid to cancel. Cause: hyper looks for the end of a connection only while nothing unread lies before it (mid_message_detect_eof), so Waiting in clients.rs was not dropped; Driver::send and Servers::exchange_with went by the module's events alone, and Gone may be behind a Closed in the channel, or bring no Cancel (bounds.cancelling false). Ruled out: order of Gone and Request in the channel (first in, first out), the module's queue (Lapsed empties it). Change: the end of the client's sending is taken from the system's readiness, whatever lies before it; a Presence that the client's side owns lets attempts be written, and ends with it, at each wait before a request's first byte. A leaving behind more than the socket's buffers hold can't be seen.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -3,6 +3,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +26,7 @@
 use crate::counts::{Counts, End};
 use crate::driver::{Answer, Arrival, Msg};
 use crate::guest::{Guest, Socket, WHOLE_TIMEOUT};
+use crate::presence::Presence;
 use crate::servers::{Call, Servers};
 use crate::task::{AbortOnDrop, Budget, Permit};
 
@@ -184,6 +187,7 @@
             self.guests.borrow_mut().insert(number, guest.clone());
         }
         let (clients, asks) = (self.clone(), guest.clone());
+        let stream = Rc::new(stream);
         let service = service_fn(move |request| {
             let (clients, guest) = (clients.clone(), asks.clone());
             async move {
@@ -210,10 +214,11 @@
             .header_read_timeout(if refuse || last { REFUSAL } else { HEAD_TIMEOUT })
             .max_buf_size(LONGEST_HEAD)
             .max_headers(MOST_HEADERS)
-            .serve_connection(TokioIo::new(Socket::new(stream, guest.clone())), service);
+            .serve_connection(TokioIo::new(Socket::new(stream.clone(), guest.clone())), service);
         let mut connection = std::pin::pin!(connection);
+        let mut left = std::pin::pin!(guest.left(&stream));
         let ended = tokio::select! {
-            _ = connection.as_mut() => true,
+            () = serving(connection.as_mut(), left.as_mut()) => true,
             () = guest.outstays() => {
                 self.counts.silent.add();
                 true
@@ -223,11 +228,12 @@
         };
         // A head on its way is let in: its answer closes the connection.
         let let_in = !ended && guest.is_asking();
-        let ended = ended || (let_in && timeout(WHOLE_TIMEOUT, connection.as_mut()).await.is_ok());
+        let ended = ended
+            || (let_in && timeout(WHOLE_TIMEOUT, serving(connection.as_mut(), left.as_mut())).await.is_ok());
         if !ended {
             // Idle ones end at once, others with their answer.
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            serving(connection, left).await;
         }
         self.guests.borrow_mut().remove(&number);
         self.end(permits);
@@ -370,6 +376,7 @@
         drop_hop_headers(&mut headers);
         let id = self.next_number();
         let (reply, answer) = oneshot::channel();
+        let presence = Presence::default();
         let arrival = Arrival {
             id,
             class: ClassId(class),
@@ -378,10 +385,10 @@
             repeat,
             cost,
             deadline,
-            call: Rc::new(Call { method: head.method, target, headers, body, probe: false }),
+            call: Rc::new(Call { method: head.method, target, headers, body, client: presence.view() }),
             reply,
         };
-        let waiting = Waiting::new(self, id, class, upload.is_some());
+        let waiting = Waiting::new(self, id, class, upload.is_some(), presence);
         let answer = match self.tx.send(Msg::Request(Box::new(arrival))) {
             Ok(()) => self.answer(answer, &waiting, upload).await.map_err(fault)?,
             Err(_) => Answer::Refused(Some(OVERFULL)),
@@ -477,14 +484,17 @@
     coming: Cell<bool>,
     /// It has had its ending, which is counted.
     ended: Cell<bool>,
+    /// Lets attempts be written.
+    _presence: Presence,
 }
 
 impl Waiting {
-    fn new(clients: &Rc<Clients>, id: u64, class: usize, coming: bool) -> Self {
+    fn new(clients: &Rc<Clients>, id: u64, class: usize, coming: bool, presence: Presence) -> Self {
         clients.held.set(clients.held.get() + 1);
         clients.coming.set(clients.coming.get() + usize::from(coming));
         let clients = clients.clone();
-        Waiting { clients, id, class, coming: Cell::new(coming), ended: Cell::new(false) }
+        let (coming, ended) = (Cell::new(coming), Cell::new(false));
+        Waiting { clients, id, class, coming, ended, _presence: presence }
     }
 
     fn is_whole(&self) {
@@ -511,6 +521,15 @@
     }
 }
 
+/// Serves a connection until it ends or its client leaves a request.
+async fn serving(connection: Pin<&mut impl Future>, left: Pin<&mut impl Future>) {
+    tokio::select! {
+        biased;
+        _ = connection => {}
+        _ = left => {}
+    }
+}
+
 /// What a client hears whose body can't be had.
 fn fault(fault: Fault) -> (StatusCode, &'static str) {
     match fault {
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -449,7 +449,9 @@
         let held = self.held.get_mut(&id);
         let attempt = held.as_ref().map_or(0, |held| held.attempts.len());
         let in_time = |held: &Held| held.deadline.is_none_or(|deadline| now < deadline);
-        let lawful = held.filter(|h| h.reply.is_some() && attempt < self.max_attempts && in_time(h));
+        // The client's leaving may still be on its way here: it is known before it is told.
+        let wanted = |held: &Held| held.reply.is_some() && !held.call.client.is_gone();
+        let lawful = held.filter(|h| wanted(h) && attempt < self.max_attempts && in_time(h));
         let Some(held) = lawful else {
             // Nothing goes out for what is over.
             let done = self.held.get(&id).is_none_or(|held| held.reply.is_none());
--- a/src/bin/woodgap/guest.rs
+++ b/src/bin/woodgap/guest.rs
@@ -3,12 +3,14 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, Instant, Sleep};
@@ -66,6 +68,20 @@
         self.asked.get()
     }
 
+    /// Ends once the client has left a request of its own. The library sees that only where nothing unread
+    /// is left before the end; the system tells it of any connection, whatever was written ahead.
+    pub async fn left(&self, socket: &TcpStream) {
+        // Never asked for but for the end of the client's sending, which comes with every interest.
+        let _ = socket.ready(Interest::PRIORITY).await;
+        // The connection's own task asks again whenever something has come. Where no request is open, the
+        // library reads what there is, to the end.
+        std::future::poll_fn(|_| match self.idle_since.get() {
+            None => Poll::Ready(()),
+            Some(_) => Poll::Pending,
+        })
+        .await;
+    }
+
     /// The request has its answer.
     pub fn idle(&self) {
         self.answered.set(true);
@@ -157,21 +173,30 @@
 
 /// A client's socket. A client that takes nothing of its answer for too long is gone.
 pub struct Socket {
-    socket: TcpStream,
+    socket: Rc<TcpStream>,
     guest: Rc<Guest>,
     /// Set while the client is waited for to take more.
     stalled: Option<Pin<Box<Sleep>>>,
 }
 
 impl Socket {
-    pub fn new(socket: TcpStream, guest: Rc<Guest>) -> Self {
+    pub fn new(socket: Rc<TcpStream>, guest: Rc<Guest>) -> Self {
         Socket { socket, guest, stalled: None }
     }
 
-    fn watch<T>(&mut self, cx: &mut Context<'_>, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        if written.is_ready() {
-            self.stalled = None;
-            return written;
+    fn write(
+        &mut self,
+        cx: &mut Context<'_>,
+        mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        while self.socket.poll_write_ready(cx)?.is_ready() {
+            match write(&self.socket) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => {
+                    self.stalled = None;
+                    return Poll::Ready(written);
+                }
+            }
         }
         let timer = self.stalled.get_or_insert_with(|| Box::pin(sleep(STALL)));
         timer.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
@@ -180,21 +205,29 @@
 
 impl AsyncRead for Socket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.socket).poll_read(cx, buffer);
-        self.guest.head.borrow_mut().take(&buffer.filled()[before..]);
-        read
+        loop {
+            std::task::ready!(self.socket.poll_read_ready(cx))?;
+            match self.socket.try_read(buffer.initialize_unfilled()) {
+                Ok(read) => {
+                    let before = buffer.filled().len();
+                    buffer.advance(read);
+                    self.guest.head.borrow_mut().take(&buffer.filled()[before..]);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
     }
 }
 
 impl AsyncWrite for Socket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.socket).poll_write(cx, data);
-        self.watch(cx, written)
+        self.write(cx, |socket| socket.try_write(data))
     }
 
     fn poll_write_vectored(
@@ -202,23 +235,22 @@
         cx: &mut Context<'_>,
         data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.socket).poll_write_vectored(cx, data);
-        self.watch(cx, written)
+        self.write(cx, |socket| socket.try_write_vectored(data))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.guest.spoilt.get() {
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut self.socket).poll_shutdown(cx)
+        Poll::Ready(SockRef::from(&*self.socket).shutdown(Shutdown::Write))
     }
 }
 
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -16,6 +16,7 @@
 mod log;
 mod operator;
 mod peers;
+mod presence;
 mod servers;
 mod stream;
 mod task;
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -22,6 +22,7 @@
 use crate::config::Figures;
 use crate::counts::{Counts, End};
 use crate::discovery::{server_number, List};
+use crate::presence::Client;
 use crate::stream::{Progress, Stream};
 use crate::task::{AbortOnDrop, Budget, Permit};
 
@@ -40,8 +41,8 @@
     pub target: Uri,
     pub headers: HeaderMap,
     pub body: Payload,
-    /// The node's own question to a server.
-    pub probe: bool,
+    /// Who waits for the answer.
+    pub client: Client,
 }
 
 /// How an attempt ended.
@@ -69,6 +70,13 @@
     idle_since: Instant,
 }
 
+/// A connection that is ready for a request, and whether it carried others before.
+struct Ready {
+    link: Link,
+    addr: SocketAddr,
+    reused: bool,
+}
+
 struct Entry {
     state: ServerState,
     addr: SocketAddr,
@@ -384,7 +392,38 @@
                 // A body that passed can't be had again: this was never sent whole, and won't be.
                 return Outcome::Moot.into();
             }
-            let Some((addr, epoch)) = self.address(server) else { return Outcome::ConnectFailed.into() };
+            // Nothing is written for a client that left while its request waited for a connection, whether
+            // or not the settings let one that was sent be cancelled.
+            let ready = tokio::select! {
+                biased;
+                () = call.client.gone() => return Outcome::Moot.into(),
+                ready = self.ready(server, until) => ready,
+            };
+            let Some(Ready { mut link, addr, reused }) = ready else { return Outcome::ConnectFailed.into() };
+            match exchange(&mut link, call, addr, until, &self.memory).await {
+                // A new connection may break by chance; a second one that does tells of the server.
+                Exchange::Unsent if reused || !std::mem::replace(&mut redialled, true) => continue,
+                Exchange::Unsent => return Outcome::ConnectFailed.into(),
+                Exchange::Broken => return Outcome::Reset.into(),
+                Exchange::Answer(status, headers, content) => {
+                    self.hear(server);
+                    let load = load(&headers, &self.figures.report);
+                    let outcome = outcome(status, &headers);
+                    let reply = self.reply(server, link, content);
+                    let answer = (outcome == Outcome::Ok).then_some((headers, reply));
+                    return Ended { outcome, load, answer };
+                }
+            }
+        }
+    }
+
+    /// A connection that a request may be written to now; `None` if none can be had in time, or the server
+    /// is to have nothing new.
+    async fn ready(&self, server: ServerId, until: Option<Instant>) -> Option<Ready> {
+        loop {
+            let (addr, epoch) = self.address(server)?;
+            let dial_by = Instant::now() + self.figures.dial_timeout;
+            let dial_by = until.map_or(dial_by, |until| until.min(dial_by));
             let (mut link, reused) = match self.idle_link(server) {
                 Some(link) => {
                     // Its close may have come and not been read yet: the connection's task first, for what
@@ -392,44 +431,25 @@
                     yield_now().await;
                     (link, true)
                 }
-                None => {
-                    let connected = Instant::now() + self.figures.dial_timeout;
-                    let connected = until.map_or(connected, |until| until.min(connected));
-                    match timeout_at(connected, self.dial(addr, epoch)).await {
-                        Ok(Ok(link)) => (link, false),
-                        _ => return Outcome::ConnectFailed.into(),
-                    }
-                }
+                None => (timeout_at(dial_by, self.dial(addr, epoch)).await.ok()?.ok()?, false),
             };
-            let ready = Instant::now() + self.figures.dial_timeout;
-            let ready = until.map_or(ready, |until| until.min(ready));
-            if !matches!(timeout_at(ready, link.sender.ready()).await, Ok(Ok(()))) {
+            let ready_by = Instant::now() + self.figures.dial_timeout;
+            let ready_by = until.map_or(ready_by, |until| until.min(ready_by));
+            if !matches!(timeout_at(ready_by, link.sender.ready()).await, Ok(Ok(()))) {
                 if reused {
                     continue;
                 }
-                return Outcome::ConnectFailed.into();
+                return None;
             }
             // The list may have changed meanwhile.
             match self.address(server) {
                 Some((_, now)) if now != link.epoch => continue,
-                Some(_) if until.is_none_or(|until| Instant::now() < until) => {}
+                Some(_) if until.is_none_or(|until| Instant::now() < until) => {
+                    return Some(Ready { link, addr, reused });
+                }
                 _ => {
                     self.keep(server, link);
-                    return Outcome::ConnectFailed.into();
-                }
-            }
-            match exchange(&mut link, call, addr, until, &self.memory).await {
-                // A new connection may break by chance; a second one that does tells of the server.
-                Exchange::Unsent if reused || !std::mem::replace(&mut redialled, true) => continue,
-                Exchange::Unsent => return Outcome::ConnectFailed.into(),
-                Exchange::Broken => return Outcome::Reset.into(),
-                Exchange::Answer(status, headers, content) => {
-                    self.hear(server);
-                    let load = load(&headers, &self.figures.report);
-                    let outcome = outcome(status, &headers);
-                    let reply = self.reply(server, link, content);
-                    let answer = (outcome == Outcome::Ok).then_some((headers, reply));
-                    return Ended { outcome, load, answer };
+                    return None;
                 }
             }
         }
@@ -465,7 +485,7 @@
             target: Uri::from_static("/-/healthy"),
             headers: HeaderMap::new(),
             body: Payload::Whole(Kept::from("")),
-            probe: true,
+            client: Client::node(),
         };
         // A probe waits like a request, but not like a patient one.
         let until = Instant::now() + self.figures.dial_timeout * 2;
@@ -505,7 +525,7 @@
     until: Option<Instant>,
     memory: &Rc<Memory>,
 ) -> Exchange {
-    link.progress.begin(call.probe);
+    link.progress.begin(call.client.is_node());
     let request = request(call, addr, until, link.progress.clone());
     let response = match link.sender.try_send_request(request).await {
         Ok(response) => response,
@@ -569,7 +589,7 @@
 
     fn call() -> Call {
         let (headers, body) = (HeaderMap::new(), Payload::Whole(Kept::from("")));
-        Call { method: Method::POST, target: Uri::from_static("/api"), headers, body, probe: false }
+        Call { method: Method::POST, target: Uri::from_static("/api"), headers, body, client: Client::node() }
     }
 
     /// A server that answers each request with its name, and none that asks for `/slow` or if the name
--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -92,6 +92,11 @@
     }
 
     pub fn under(servers: usize, limits: Value, env: &[(&str, &str)]) -> Site {
+        Site::shaped(servers, env, |config| config["limits"] = limits)
+    }
+
+    /// One whose configuration is changed before its start.
+    pub fn shaped(servers: usize, env: &[(&str, &str)], shape: impl FnOnce(&mut Value)) -> Site {
         let (tx, seen) = channel();
         let does: Vec<_> = (0..servers).map(|_| Arc::new(Mutex::new(Does::Serve))).collect();
         let members: Vec<Value> = does
@@ -109,9 +114,9 @@
             json!({"name": name, "aim": 20_000_000, "deadline": 60_000_000, "semantics": semantics,
                 "points": 1.0, "late-share": 0.2, "key-scope": "all", "key-ttl": 5_000_000})
         };
-        let config = json!({
+        let mut config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f",
-            "limits": limits,
+            "limits": {"sockets": 256},
             "known": {"revision": 41, "complete": true, "members": members},
             "settings": {
                 "group-size": 1, "registry-mode": "ask", "weight-source": "nominal",
@@ -122,6 +127,7 @@
                 "rules": {"ask-within": 1_000_000},
             },
         });
+        shape(&mut config);
         let mut file = tempfile::NamedTempFile::new().unwrap();
         file.write_all(config.to_string().as_bytes()).unwrap();
         let (node, addr, operator) = start(file.path(), None, env);
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::Sender;
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -132,6 +132,71 @@
     addr
 }
 
+/// A server that hands each connection to the test, which reads and writes every byte itself.
+pub fn scripted() -> (SocketAddr, Receiver<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (tx, connections) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            stream.set_read_timeout(Some(PATIENCE)).unwrap();
+            if tx.send(stream).is_err() {
+                return;
+            }
+        }
+    });
+    (addr, connections)
+}
+
+/// A listener whose backlog is full: connections to it do not come up before `open`.
+pub struct Late {
+    pub addr: SocketAddr,
+    listener: socket2::Socket,
+    fillers: Vec<TcpStream>,
+}
+
+impl Late {
+    pub fn new() -> Late {
+        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        listener.listen(0).unwrap();
+        let addr = listener.local_addr().unwrap().as_socket().unwrap();
+        let mut fillers = Vec::new();
+        while let Ok(filler) = TcpStream::connect_timeout(&addr, Duration::from_millis(300)) {
+            fillers.push(filler);
+        }
+        Late { addr, listener, fillers }
+    }
+
+    /// How many connections to it are on their way.
+    pub fn knocking(&self) -> usize {
+        let (port, syn_sent) = (format!("0100007F:{:04X}", self.addr.port()), "02");
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let fields = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+        fields.filter(|f| f.get(2) == Some(&port.as_str()) && f.get(3) == Some(&syn_sent)).count()
+    }
+
+    /// Lets them come up and hands on those that do.
+    pub fn open(self) -> Receiver<TcpStream> {
+        let Late { listener, fillers, .. } = self;
+        listener.listen(64).unwrap();
+        let listener = TcpListener::from(listener);
+        for _ in &fillers {
+            drop(listener.accept().unwrap());
+        }
+        let (tx, connections) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                if tx.send(stream).is_err() {
+                    return;
+                }
+            }
+        });
+        connections
+    }
+}
+
 /// Discovery: hands each watch to the test, which writes what it likes.
 pub fn discovery(watches: Sender<(Message, TcpStream)>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- /dev/null
+++ b/tests/node/leaving.rs
@@ -0,0 +1,182 @@
+//! Clients that leave a request which waits: it is not sent on, whatever they wrote ahead and however they
+//! went. Those that stay are served.
+
+use socket2::SockRef;
+
+use super::*;
+
+/// How a client goes.
+#[derive(Clone, Copy, Debug)]
+enum Goes {
+    Fin,
+    Reset,
+    HalfClose,
+}
+
+const WAYS: [Goes; 3] = [Goes::Fin, Goes::Reset, Goes::HalfClose];
+
+impl Goes {
+    /// What has to be kept for as long as the test lasts.
+    fn go(self, client: TcpStream) -> Option<TcpStream> {
+        match self {
+            Goes::Fin => drop(client),
+            Goes::Reset => {
+                SockRef::from(&client).set_linger(Some(Duration::ZERO)).unwrap();
+                drop(client);
+            }
+            Goes::HalfClose => {
+                client.shutdown(std::net::Shutdown::Write).unwrap();
+                return Some(client);
+            }
+        }
+        None
+    }
+}
+
+/// What a client writes behind its request before it goes.
+fn ahead() -> [(&'static str, Vec<u8>); 4] {
+    // Past what the library reads, and within what the system takes: an end behind more than that does not
+    // come through before the node has read what lies before it.
+    let long = request("look", "ahead", 60_000).repeat(200);
+    [
+        ("nothing", Vec::new()),
+        ("part of a head", b"GET /api?ke".to_vec()),
+        ("a request", request("look", "ahead", 60_000)),
+        ("more than is read", long),
+    ]
+}
+
+/// Ample for a leaving to be seen, and less than the module lets an attempt take.
+const SEEN_WITHIN: Duration = Duration::from_secs(10);
+
+/// The next connection to a server of the test's own.
+fn accepted(connections: &Receiver<TcpStream>) -> TcpStream {
+    let server = connections.recv_timeout(PATIENCE).unwrap();
+    server.set_read_timeout(Some(SEEN_WITHIN)).unwrap();
+    server
+}
+
+/// A site with one server of the test's own, and whether attempts may be cancelled.
+fn site_with(addr: SocketAddr, others: usize, cancelling: bool) -> Site {
+    Site::shaped(others, &[("BALANCER_OPERATOR", "127.0.0.1:0")], |config| {
+        config["settings"]["bounds"]["cancelling"] = json!(cancelling);
+        config["settings"]["bounds"]["dial-timeout"] = json!(60_000_000);
+        let members = config["known"]["members"].as_array_mut().unwrap();
+        members.push(json!({"id": "s-own", "host_port": addr.to_string(), "locality": "a", "flavor": "f",
+            "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0}));
+    })
+}
+
+// The library sees a client's end only where nothing unread lies before it.
+#[test]
+fn a_request_that_was_sent_is_cancelled_when_its_client_goes_however_it_goes() {
+    for goes in WAYS {
+        for (what, bytes) in ahead() {
+            let (addr, connections) = scripted();
+            let site = site_with(addr, 0, true);
+            let mut client = site.dial();
+            client.write_all(&request("look", "1", 60_000)).unwrap();
+            let server = accepted(&connections);
+            let mut input = BufReader::new(server);
+            assert_eq!(Message::read(&mut input).unwrap().header("x-txn"), "1");
+            client.write_all(&bytes).unwrap();
+            let _kept = goes.go(client);
+            assert_eq!(input.read(&mut [0; 1]).expect("the attempt is ended"), 0, "{goes:?} behind {what}");
+        }
+    }
+}
+
+// Where an attempt may not be cancelled, its end must not bring another one for nobody.
+#[test]
+fn nothing_is_sent_again_for_a_client_that_left_during_an_attempt() {
+    for goes in WAYS {
+        for (what, bytes) in ahead() {
+            let (addr, connections) = scripted();
+            let site = site_with(addr, 0, false);
+            let mut client = site.dial();
+            client.write_all(&request("look", "1", 60_000)).unwrap();
+            let mut server = accepted(&connections);
+            let mut input = BufReader::new(server.try_clone().unwrap());
+            assert_eq!(Message::read(&mut input).unwrap().header("x-txn"), "1");
+            client.write_all(&bytes).unwrap();
+            let _kept = goes.go(client);
+            until("the leaving is known", || site.figure("svc_outstanding") == 0);
+            // Turned away unseen, it would be tried again at once.
+            let answer =
+                "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+            server.write_all(answer.as_bytes()).unwrap();
+            assert_eq!(input.read(&mut [0; 1]).expect("closed"), 0);
+            let mut other = site.dial();
+            other.write_all(&request("look", "2", 60_000)).unwrap();
+            let next = connections.recv_timeout(PATIENCE).unwrap();
+            let next = Message::read(&mut BufReader::new(next));
+            let next = next.unwrap_or_else(|| panic!("nothing came, {goes:?} behind {what}"));
+            assert_eq!(next.header("x-txn"), "2", "{goes:?} behind {what}");
+        }
+    }
+}
+
+// What waits for a connection has not been sent: it is not, whether or not attempts may be cancelled.
+#[test]
+fn nothing_is_written_for_a_client_that_left_during_a_dial() {
+    for cancelling in [true, false] {
+        for goes in WAYS {
+            let late = Late::new();
+            let site = site_with(late.addr, 0, cancelling);
+            let mut client = site.dial();
+            client.write_all(&request("pay", "1", 60_000)).unwrap();
+            until("it dials", || late.knocking() == 1);
+            let _kept = goes.go(client);
+            until("the dial is given up", || late.knocking() == 0);
+            let connections = late.open();
+            let mut other = site.dial();
+            other.write_all(&request("pay", "2", 60_000)).unwrap();
+            loop {
+                let server = connections.recv_timeout(PATIENCE).unwrap();
+                if let Some(came) = Message::read(&mut BufReader::new(server)) {
+                    assert_eq!(came.header("x-txn"), "2", "{goes:?}, cancelling {cancelling}");
+                    break;
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_client_that_leaves_during_a_drain_is_seen_too() {
+    for goes in WAYS {
+        let (addr, connections) = scripted();
+        let mut site = site_with(addr, 0, true);
+        let mut client = site.dial();
+        client.write_all(&request("look", "1", 60_000)).unwrap();
+        let mut input = BufReader::new(accepted(&connections));
+        assert_eq!(Message::read(&mut input).unwrap().header("x-txn"), "1");
+        site.signal("-TERM");
+        // Idle connections close once the drain is past its beginning.
+        let mut idle = site.dial();
+        assert_eq!(idle.read(&mut [0; 1]).expect("closed"), 0);
+        client.write_all(b"GET /api?ke").unwrap();
+        let _kept = goes.go(client);
+        assert_eq!(input.read(&mut [0; 1]).expect("the attempt is ended"), 0, "{goes:?}");
+        assert!(site.node.wait().unwrap().success());
+    }
+}
+
+#[test]
+fn a_client_that_writes_much_ahead_and_stays_is_served() {
+    let site = Site::new(1);
+    site.all_do(Does::Hold);
+    let mut client = site.dial();
+    client.write_all(&request("pay", "0", 60_000)).unwrap();
+    assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Request(..))));
+    let many: Vec<u8> = (1..=300).flat_map(|n| request("pay", &n.to_string(), 60_000)).collect();
+    let mut output = client.try_clone().unwrap();
+    let writer = thread::spawn(move || output.write_all(&many).unwrap());
+    site.all_do(Does::Serve);
+    let mut input = BufReader::new(client);
+    for n in 0..=300 {
+        let answer = Message::read(&mut input).expect("an answer");
+        assert_eq!((answer.status(), answer.body), (200, n.to_string().into_bytes()));
+    }
+    writer.join().unwrap();
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod bodies;
 mod clients;
 mod discovery;
+mod leaving;
 mod operators;
 mod requests;
 mod restart;
@@ -13,7 +14,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{channel, Receiver};
 use std::thread;
 use std::time::{Duration, Instant};
 
