After SIGTERM no answer is promised past the end of the process

Seen: with SIGKILL at the longest deadline (3 s at most) and 0.7 s after SIGTERM, a request that comes on a kept connection 0.7 s or later after SIGTERM, its head or body half in, is still waited for its whole deadline: 25.6 s in the new test with one of 25 s, when the process may be killed at 3.7 s. It is lost then. Cause: Clients::call and Upload::enter took the deadline from the request alone, drain() knew when the end may come. Ruled out: SIGTERM twice, with SIGHUP, in the backlog, while dialling, with a body half in: each answered (new tests). Change: a Horizon, closed by SIGTERM, bounds each deadline that is given from then on.

--- a/src/bin/woodgap/body.rs
+++ b/src/bin/woodgap/body.rs
@@ -17,6 +17,7 @@
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant, Sleep};
 
 use crate::counts::End;
+use crate::horizon::Horizon;
 use crate::stream::Progress;
 
 /// The longest body that is kept whole: up to here its last byte is timed, past it its first.
@@ -143,8 +144,9 @@
 pub struct Upload {
     source: RefCell<Source>,
     length: Option<u64>,
-    /// How long the client waits, from the last byte on.
+    /// How long the client waits, from the last byte on, and the process at the most.
     patience: Duration,
+    horizon: Rc<Horizon>,
     stage: Cell<Stage>,
     deadline: Cell<Option<Instant>>,
     /// A part has gone to a server: it can't be sent again.
@@ -205,7 +207,7 @@
 
 impl Upload {
     /// A body whose client has been waited for since `since`.
-    pub fn new(body: Incoming, patience: Duration, since: Instant) -> Rc<Self> {
+    pub fn new(body: Incoming, patience: Duration, horizon: Rc<Horizon>, since: Instant) -> Rc<Self> {
         let length = body.size_hint().exact();
         let now = Instant::now();
         let source = Source {
@@ -220,6 +222,7 @@
             source: RefCell::new(source),
             length,
             patience,
+            horizon,
             stage: Cell::new(Stage::Coming),
             deadline: Cell::new(None),
             begun: Cell::new(false),
@@ -231,7 +234,7 @@
     fn enter(&self, stage: Stage) {
         if self.stage.get() == Stage::Coming {
             self.stage.set(stage);
-            self.deadline.set((stage == Stage::Whole).then(|| Instant::now() + self.patience));
+            self.deadline.set((stage == Stage::Whole).then(|| self.horizon.deadline(self.patience)));
             self.changed.notify_waiters();
         }
     }
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout};
 use woodgap::settings::Names;
 use woodgap::{ClassId, Key, Semantics, Settings, TenantId};
 use xxhash_rust::xxh3::xxh3_64;
@@ -26,6 +26,7 @@
 use crate::counts::{Counts, End};
 use crate::driver::{Answer, Arrival, Msg};
 use crate::guest::{Guest, Socket, WHOLE_TIMEOUT};
+use crate::horizon::Horizon;
 use crate::presence::Presence;
 use crate::servers::{Call, Servers};
 use crate::task::{AbortOnDrop, Budget, Permit};
@@ -66,6 +67,7 @@
     draining: Cell<bool>,
     /// The process is to end: nobody can undo this drain.
     ending: Cell<bool>,
+    horizon: Rc<Horizon>,
     /// Closes idle connections once a drain has begun.
     drain: RefCell<Option<AbortOnDrop>>,
     /// Set once idle connections are to go as well.
@@ -103,6 +105,7 @@
             guests: RefCell::default(),
             draining: Cell::new(false),
             ending: Cell::new(false),
+            horizon: Rc::default(),
             drain: RefCell::default(),
             closing: Cell::new(false),
             close: Notify::new(),
@@ -288,12 +291,13 @@
 
     /// After SIGTERM: drains, and returns once nothing is held.
     pub async fn drain(self: &Rc<Self>) {
+        let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         self.ending.set(true);
+        self.horizon.close(Duration::from_micros(longest));
         self.stand_by();
         sleep(DRAIN).await;
         // A client that trickles a request must not keep the node up: all that was taken has had
         // its answer by the longest deadline.
-        let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let all_ended = async {
             while self.connections.get() > 0 {
                 self.ended.notified().await;
@@ -358,7 +362,7 @@
         // The client's clock runs from its last byte, which one that came whole was read soon after.
         let (upload, deadline) = match &body {
             Payload::Coming(upload) => (Some(upload.clone()), None),
-            Payload::Whole(_) => (None, Some(Instant::now() + patience)),
+            Payload::Whole(_) => (None, Some(self.horizon.deadline(patience))),
         };
         if self.held.get() >= self.open_cap {
             self.counts.ended(class, End::Refused);
@@ -427,7 +431,7 @@
                 spawn_local(discard(body));
                 return Err(Fault::TooLong);
             }
-            _ => Upload::new(body, patience, guest.waited_since()),
+            _ => Upload::new(body, patience, self.horizon.clone(), guest.waited_since()),
         };
         Ok(match upload.gather(self.servers.memory()).await? {
             Some(kept) => Payload::Whole(kept),
--- /dev/null
+++ b/src/bin/woodgap/horizon.rs
@@ -0,0 +1,48 @@
+//! By when the process has to have answered: without end, until it is told to end itself.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// The platform kills a process no sooner than this after its word to end and the longest deadline, a
+/// longer one than `LONGEST_COUNTED` counting as that.
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+/// Answers are to have reached their clients by then, from a process that was told late.
+const SPARE: Duration = Duration::from_millis(50);
+
+/// The time that is left to the process, seen by all that promise an answer.
+#[derive(Default)]
+pub struct Horizon(Cell<Option<Instant>>);
+
+impl Horizon {
+    /// The process was told to end; `longest` is the longest deadline of a request.
+    pub fn close(&self, longest: Duration) {
+        let end = Instant::now() + longest.min(LONGEST_COUNTED) + KILLED_AFTER - SPARE;
+        self.0.set(Some(self.0.get().map_or(end, |before| before.min(end))));
+    }
+
+    /// When a request that waits for so long is owed its answer.
+    pub fn deadline(&self, patience: Duration) -> Instant {
+        let deadline = Instant::now() + patience;
+        self.0.get().map_or(deadline, |end| deadline.min(end))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn no_answer_is_promised_past_the_end_of_the_process() {
+        for (longest, end) in [(400, 1_050), (3_000, 3_650), (9_000, 3_650)] {
+            let (horizon, start) = (Horizon::default(), Instant::now());
+            let after = |ms| start + Duration::from_millis(ms);
+            assert_eq!(horizon.deadline(Duration::from_secs(60)), after(60_000));
+            horizon.close(Duration::from_millis(longest));
+            assert_eq!(horizon.deadline(Duration::from_millis(300)), after(300));
+            assert_eq!(horizon.deadline(Duration::from_secs(60)), after(end));
+        }
+    }
+}
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -12,6 +12,7 @@
 mod discovery;
 mod driver;
 mod guest;
+mod horizon;
 mod inherit;
 mod log;
 mod operator;
--- a/tests/node/restart.rs
+++ b/tests/node/restart.rs
@@ -111,3 +111,123 @@
     site.signal("-TERM");
     assert!(site.node.wait().unwrap().success());
 }
+
+/// A site whose one server answers nothing, with this longest deadline.
+fn hung_site(longest: Duration) -> Site {
+    let site = Site::shaped(1, &[], |config| {
+        for class in config["settings"]["classes"].as_array_mut().unwrap() {
+            class["deadline"] = json!(longest.as_micros() as u64);
+            class["aim"] = json!(longest.as_micros() as u64);
+        }
+    });
+    site.all_do(Does::Hang);
+    site
+}
+
+/// Tells a node to end, and returns once it closes what is idle.
+fn drained(site: &Site) {
+    let mut idle = site.dial();
+    site.signal("-TERM");
+    assert_eq!(idle.read(&mut [0; 1]).expect("closed"), 0);
+}
+
+// What comes more than 0.7 s after SIGTERM is lost if SIGKILL finds it unanswered, 3.7 s after SIGTERM at
+// the longest: a deadline of 25 s does not outlive the process. The bound here is for busy machines.
+#[test]
+fn a_request_that_comes_late_in_a_drain_is_answered_while_the_process_lives() {
+    let whole = request("pay", "1", 25_000);
+    for cut in [4, whole.len() - 2] {
+        let mut site = hung_site(Duration::from_secs(25));
+        let mut client = site.dial();
+        client.write_all(&whole[..cut]).unwrap();
+        // A node that has read this connection's bytes has read those of the first too.
+        assert_eq!(site.raw(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+        let start = Instant::now();
+        drained(&site);
+        client.write_all(&whole[cut..]).unwrap();
+        let answer = Message::read(&mut BufReader::new(client)).expect("an answer");
+        assert!(answer.status() >= 500 && start.elapsed() < Duration::from_secs(12), "{:?}", start.elapsed());
+        assert!(site.node.wait().unwrap().success());
+    }
+}
+
+// The shorter the deadlines, the sooner the kill: here 1.1 s after SIGTERM.
+#[test]
+fn short_deadlines_end_before_a_drain_does() {
+    let mut site = hung_site(Duration::from_millis(400));
+    let clients: Vec<TcpStream> = (0..20)
+        .map(|n| {
+            let mut client = site.dial();
+            client.write_all(&request(["look", "pay"][n % 2], &n.to_string(), 400)).unwrap();
+            client
+        })
+        .collect();
+    site.signal("-TERM");
+    for client in clients {
+        assert!(Message::read(&mut BufReader::new(client)).expect("an answer").status() >= 500);
+    }
+    assert!(site.node.wait().unwrap().success());
+}
+
+// Stopped, the node finds all of it at once: connections in the backlog with requests on them, a request
+// on a kept connection, both signals, and SIGTERM again.
+#[test]
+fn what_comes_together_with_its_end_is_answered() {
+    let mut site = Site::new(1);
+    let mut kept = site.dial();
+    let mut answers = BufReader::new(kept.try_clone().unwrap());
+    kept.write_all(&request("pay", "0", 60_000)).unwrap();
+    assert_eq!(Message::read(&mut answers).unwrap().status(), 200);
+    site.signal("-STOP");
+    kept.write_all(&request("pay", "1", 60_000)).unwrap();
+    let new: Vec<TcpStream> = (2..20)
+        .map(|n| {
+            let mut client = site.dial();
+            client.write_all(&request("pay", &n.to_string(), 60_000)).unwrap();
+            client
+        })
+        .collect();
+    ["-TERM", "-HUP", "-CONT"].iter().for_each(|name| site.signal(name));
+    let answer = Message::read(&mut answers).expect("an answer on the kept connection");
+    assert_eq!((answer.status(), answer.body), (200, b"1".to_vec()));
+    site.signal("-TERM");
+    for (n, client) in (2..20).zip(new) {
+        let answer = Message::read(&mut BufReader::new(client)).expect("an answer from the backlog");
+        assert_eq!((answer.status(), answer.body), (200, n.to_string().into_bytes()));
+    }
+    assert!(site.node.wait().unwrap().success());
+}
+
+#[test]
+fn requests_that_wait_at_sigterm_are_answered() {
+    let late = Late::new();
+    let mut site = Site::shaped(0, &[], |config| {
+        config["known"]["members"] = json!([{"id": "s-late", "host_port": late.addr.to_string(), "locality": "a",
+            "flavor": "f", "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0}]);
+        config["settings"]["bounds"]["dial-timeout"] = json!(20_000_000);
+    });
+    let mut dialling = site.dial();
+    dialling.write_all(&request("pay", "1", 60_000)).unwrap();
+    until("it dials", || late.knocking() == 1);
+    let mut coming = site.dial();
+    let body = request("pay", "2", 60_000);
+    coming.write_all(&body[..body.len() - 2]).unwrap();
+    assert_eq!(site.raw(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+    drained(&site);
+    let connections = late.open();
+    coming.write_all(&body[body.len() - 2..]).unwrap();
+    let server = thread::spawn(move || {
+        for _ in 0..2 {
+            let mut stream = connections.recv_timeout(PATIENCE).unwrap();
+            let id = Message::read(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
+            let id = id.header("x-txn").to_owned();
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len()).unwrap();
+        }
+    });
+    for (client, id) in [(dialling, b"1"), (coming, b"2")] {
+        let answer = Message::read(&mut BufReader::new(client)).expect("an answer");
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, id.as_slice()));
+    }
+    server.join().unwrap();
+    assert!(site.node.wait().unwrap().success());
+}
