An accepted connection counts as held from its accept on, not from its task's first turn

Cause, from reading: accept() spawned serve(), which counted the connection when it first ran; a drain that looked between the two saw none and let the process end with the connection unserved. Change: accept() makes the Place that the task owns, and its drop gives it back. Result: no test makes this order happen, as both lie in one turn of the runtime; the type leaves no such moment.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -138,7 +138,9 @@
                     let refuse = permits.is_none();
                     if refuse { &self.counts.no_room } else { &self.counts.accepted }.add();
                     if let Some(permits) = permits.or_else(|| Some((self.overflow.take()?, None))) {
-                        spawn_local(self.clone().serve(stream, permits, refuse));
+                        // Held from here on: the process does not end before it is served.
+                        let place = Place::new(&self, permits);
+                        spawn_local(self.clone().serve(stream, place, refuse));
                     }
                 }
                 Err(error) => {
@@ -180,8 +182,7 @@
     }
 
     /// Serves a connection until it ends; past the budget only to say so.
-    async fn serve(self: Rc<Self>, stream: TcpStream, permits: (Permit, Option<Permit>), refuse: bool) {
-        self.connections.set(self.connections.get() + 1);
+    async fn serve(self: Rc<Self>, stream: TcpStream, place: Place, refuse: bool) {
         // One that comes this late still gets its one request answered: it counts as taken.
         let last = self.closing.get();
         let guest = Rc::new(Guest::new());
@@ -239,7 +240,7 @@
             serving(connection, left).await;
         }
         self.guests.borrow_mut().remove(&number);
-        self.end(permits);
+        drop(place);
     }
 
     fn next_number(&self) -> u64 {
@@ -248,12 +249,6 @@
         number
     }
 
-    fn end(&self, permits: (Permit, Option<Permit>)) {
-        drop(permits);
-        self.connections.set(self.connections.get() - 1);
-        self.ended.notify_waiters();
-    }
-
     /// Sends clients away: readiness says no, each answer closes its connection, and once the front
     /// has had time to notice, what is idle closes too.
     pub fn stand_by(self: &Rc<Self>) {
@@ -479,6 +474,27 @@
     }
 }
 
+/// An accepted connection's place among those that the node holds.
+struct Place {
+    clients: Rc<Clients>,
+    permits: Option<(Permit, Option<Permit>)>,
+}
+
+impl Place {
+    fn new(clients: &Rc<Clients>, permits: (Permit, Option<Permit>)) -> Self {
+        clients.connections.set(clients.connections.get() + 1);
+        Place { clients: clients.clone(), permits: Some(permits) }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.permits = None;
+        self.clients.connections.set(self.clients.connections.get() - 1);
+        self.clients.ended.notify_waiters();
+    }
+}
+
 /// A request that waits for its answer, or passes it on. The connection's future drops it when the
 /// client goes.
 struct Waiting {
