A watch is judged by whole lists on one clock, and one reopening is pending at the most

Seen (each by a new test in tests/node/discovery.rs that fails on the tree before): - a watch that falls silent, and whose next call hangs too, was replaced after 8.0 s; its news count as told after 6 s. After SIGHUP a call that hangs was replaced after 4.0 s, the bound itself. Cause: follow() gave connect, head and each frame 3.5 s one after the other, and AGAIN was waited for on top of a silence. - bytes that trickle without a line kept a watch alive for ever: each frame counted as a sign of life. - an indented list ended the watch at its first line, again and again: Lines went by line ends, not by values. - a reopening that waited (Due::Watch) tore down the watch that SIGHUP had opened meanwhile; two could be pending. Change: one deadline before each item, 1.5 s for a call (3.5 s where calls wait in turn) and 2.75 s after; values are told apart by their own ends; Watch is Ended, Open or Pauses, and opening takes the place of what there was. Also: the tests of drains asked with one key, which might never have gone to the server that drains; they ask with 16 keys now and check first that it is reached.

--- a/src/bin/woodgap/discovery.rs
+++ b/src/bin/woodgap/discovery.rs
@@ -4,24 +4,30 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::error::Elapsed;
+use tokio::time::{timeout_at, Instant};
 use woodgap::settings::server_state;
 use woodgap::ServerState;
 
 use crate::task::AbortOnDrop;
 
-/// A watch sends at least an empty line every 2 s: one silent for this long is broken. Found out
-/// late, changes would be told to the node (by the rules) before it knows them.
-const SILENCE: Duration = Duration::from_millis(3_500);
-/// The longest line that is read: a list of some ten thousand servers.
-const LONGEST_LINE: usize = 4 << 20;
+/// A watch sends at least an empty line every 2 s: one silent for this long is broken. What it misses counts
+/// as told 6 s after it fell silent: by then a call that hangs has to be over too, and another one answered.
+const SILENCE: Duration = Duration::from_millis(2_750);
+/// Where lists are pushed the node's own agent answers at once. After SIGHUP what the new address has counts
+/// as told in 4 s, with room for one call that hangs.
+pub const AT_ONCE: Duration = Duration::from_millis(1_500);
+/// Where they are asked for, calls wait for their turn.
+pub const IN_TURN: Duration = Duration::from_millis(3_500);
+/// The longest list that is read, of some ten thousand servers.
+const LONGEST_VALUE: usize = 4 << 20;
 
 /// An entry of the list.
 #[derive(Clone, Debug)]
@@ -49,8 +55,10 @@
 #[derive(Debug)]
 pub enum News {
     List(List),
-    /// The call failed or the watch broke.
-    Failed,
+    /// The call failed or the watch broke, or it was waited for in vain.
+    Failed {
+        silent: bool,
+    },
 }
 
 impl List {
@@ -80,73 +88,122 @@
     })
 }
 
-/// The lines of a chunked answer; a line may be split over chunks anywhere.
+/// What a watch sends.
+#[derive(Debug, PartialEq)]
+enum Item {
+    /// An empty line.
+    Beat,
+    /// The text of a value, on one line or on several.
+    Value(BytesMut),
+}
+
+/// The values of a chunked answer; one may be split over chunks and lines anywhere.
 #[derive(Default)]
-struct Lines {
+struct Items {
     buffer: BytesMut,
+    /// How far the buffer was looked at, and where in a value that is.
+    seen: usize,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
 }
 
-impl Lines {
+impl Items {
     fn push(&mut self, chunk: &Bytes) {
         self.buffer.extend_from_slice(chunk);
     }
 
-    fn next(&mut self) -> Option<BytesMut> {
-        let end = self.buffer.iter().position(|&b| b == b'\n')?;
-        let mut line = self.buffer.split_to(end);
-        self.buffer.advance(1);
-        if line.last() == Some(&b'\r') {
-            line.truncate(line.len() - 1);
+    fn next(&mut self) -> Result<Option<Item>, Fault> {
+        while let Some(&byte) = self.buffer.get(self.seen) {
+            self.seen += 1;
+            if self.quoted {
+                self.quoted = self.escaped || byte != b'"';
+                self.escaped = !self.escaped && byte == b'\\';
+                continue;
+            }
+            match byte {
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' if self.depth > 0 => {
+                    self.depth -= 1;
+                    if self.depth == 0 {
+                        return Ok(Some(Item::Value(self.take())));
+                    }
+                }
+                b'"' if self.depth > 0 => self.quoted = true,
+                b'\n' if self.depth == 0 => {
+                    self.take();
+                    return Ok(Some(Item::Beat));
+                }
+                _ if self.depth > 0 || byte.is_ascii_whitespace() => {}
+                _ => return Err("a line that is no list".into()),
+            }
         }
-        Some(line)
+        if self.buffer.len() > LONGEST_VALUE {
+            return Err("a list is too long".into());
+        }
+        Ok(None)
+    }
+
+    fn take(&mut self) -> BytesMut {
+        self.buffer.split_to(std::mem::take(&mut self.seen))
     }
 }
 
-/// Watches from a revision on and hands on what comes until the watch ends; then says `Failed`.
-pub async fn watch(addr: SocketAddr, revision: u64, mut tell: impl FnMut(News)) {
-    if let Err(reason) = follow(addr, revision, &mut tell).await {
-        crate::log::line(format_args!("discovery: {reason}"));
+/// Watches from a revision on and hands on what comes until the watch ends; then says how. Its first item
+/// must have come within `patience`.
+pub async fn watch(addr: SocketAddr, revision: u64, patience: Duration, mut tell: impl FnMut(News)) {
+    let ended = follow(addr, revision, patience, &mut tell).await;
+    let silent = ended.as_ref().is_err_and(|reason| reason.is::<Elapsed>());
+    if let Err(reason) = ended {
+        crate::log::line(format_args!(
+            "discovery: {reason}{}",
+            if silent { ": the watch is silent" } else { "" }
+        ));
     }
-    tell(News::Failed);
+    tell(News::Failed { silent });
 }
 
 type Fault = Box<dyn std::error::Error>;
 
-async fn follow(addr: SocketAddr, revision: u64, tell: &mut impl FnMut(News)) -> Result<(), Fault> {
-    let stream = timeout(SILENCE, TcpStream::connect(addr)).await??;
+async fn follow(
+    addr: SocketAddr,
+    revision: u64,
+    patience: Duration,
+    tell: &mut impl FnMut(News),
+) -> Result<(), Fault> {
+    // One span for all that comes before an item: a call that hangs hangs once, wherever it does.
+    let mut by = Instant::now() + patience;
+    let stream = timeout_at(by, TcpStream::connect(addr)).await??;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let _connection = AbortOnDrop::spawn(async move { drop(connection.await) });
     let request = Request::get(format!("/api/targets?stream=1&index={revision}"))
         .header("host", addr.to_string())
         .body(Empty::<Bytes>::new())?;
-    let response = timeout(SILENCE, sender.send_request(request)).await??;
+    let response = timeout_at(by, sender.send_request(request)).await??;
     if response.status() != StatusCode::OK {
         return Err(format!("watch answered {}", response.status()).into());
     }
     let mut body = response.into_body();
-    let mut lines = Lines::default();
+    let mut items = Items::default();
     let mut first = true;
     loop {
-        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| "watch is silent")?;
-        let Some(frame) = frame else { return Err("watch ended".into()) };
+        let Some(frame) = timeout_at(by, body.frame()).await? else { return Err("watch ended".into()) };
         let Ok(chunk) = frame?.into_data() else { continue };
-        lines.push(&chunk);
-        while let Some(line) = lines.next() {
-            if line.iter().all(u8::is_ascii_whitespace) {
+        items.push(&chunk);
+        while let Some(item) = items.next()? {
+            // Bytes alone are no sign of life: a part of a list may be all that ever comes.
+            by = Instant::now() + SILENCE;
+            match item {
                 // Even where nothing changed, the module is owed an answer to its call.
-                if first {
-                    tell(News::List(List::default()));
+                Item::Beat if first => tell(News::List(List::default())),
+                Item::Beat => {}
+                Item::Value(text) => {
+                    let value: Value = serde_json::from_slice(&text)?;
+                    tell(News::List(List::from_value(&value).ok_or("a line that is no list")?));
                 }
-                first = false;
-                continue;
             }
             first = false;
-            let value: Value = serde_json::from_slice(&line)?;
-            tell(News::List(List::from_value(&value).ok_or("a line that is no list")?));
-        }
-        if lines.buffer.len() > LONGEST_LINE {
-            return Err("a line is too long".into());
         }
     }
 }
@@ -169,16 +226,27 @@
     use super::*;
 
     #[test]
-    fn lines_may_be_split_anywhere() {
-        let mut lines = Lines::default();
-        let mut seen = Vec::new();
-        for byte in b"{\"a\":1}\r\n\n{\"b\":2}\n" {
-            lines.push(&Bytes::copy_from_slice(&[*byte]));
-            while let Some(line) = lines.next() {
-                seen.push(String::from_utf8(line.to_vec()).unwrap());
+    fn values_may_be_split_and_indented_anywhere() {
+        let texts = ["{\"a\":[{\"b\":1},\r\n\n  {\"}\": \"\\\"{\\\\\"}]\n}", "{\"b\":2}"];
+        let sent = format!("{}\r\n\n{}\n", texts[0], texts[1]);
+        for size in 1..sent.len() {
+            let (mut items, mut seen) = (Items::default(), Vec::new());
+            for part in sent.as_bytes().chunks(size) {
+                items.push(&Bytes::copy_from_slice(part));
+                while let Some(item) = items.next().unwrap() {
+                    seen.push(match item {
+                        Item::Beat => String::new(),
+                        Item::Value(text) => String::from_utf8(text.to_vec()).unwrap().trim().to_owned(),
+                    });
+                }
             }
+            assert_eq!(seen, [texts[0], "", "", texts[1], ""], "in parts of {size}");
+        }
+        for odd in ["7\n", "}", "nonsense"] {
+            let mut items = Items::default();
+            items.push(&Bytes::from_static(odd.as_bytes()));
+            assert!(items.next().is_err(), "{odd}");
         }
-        assert_eq!(seen, ["{\"a\":1}", "", "{\"b\":2}"]);
     }
 
     #[test]
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -18,7 +18,7 @@
 use crate::bans::Bans;
 use crate::body::Reply;
 use crate::counts::{Counts, REPORT};
-use crate::discovery::{watch, List, News};
+use crate::discovery::{watch, List, News, AT_ONCE, IN_TURN};
 use crate::peers::Peers;
 use crate::servers::{Call, Ended, Servers, TIDY};
 use crate::task::AbortOnDrop;
@@ -132,6 +132,13 @@
     Bans,
 }
 
+/// The one watch that there may be: being opened or open, or to be opened again.
+enum Watch {
+    Ended,
+    Open { _task: AbortOnDrop },
+    Pauses(delay_queue::Key),
+}
+
 pub struct Driver {
     balancer: Balancer,
     clock: Clock,
@@ -146,9 +153,9 @@
     mode: Discovery,
     max_attempts: usize,
     revision: u64,
-    /// The number of the present watch, and its task.
+    /// The number of the present watch, and how it stands.
     watch: u64,
-    watching: Option<AbortOnDrop>,
+    watching: Watch,
     tx: mpsc::UnboundedSender<Msg>,
     /// `None` where operators don't call.
     bans: Option<Bans>,
@@ -190,7 +197,7 @@
             max_attempts: config.settings.max_attempts as usize,
             revision: 0,
             watch: 0,
-            watching: None,
+            watching: Watch::Ended,
             tx,
             bans: None,
         }
@@ -237,7 +244,10 @@
                 self.servers.tidy();
                 self.due.insert(Due::Tidy, TIDY);
             }
-            Due::Watch => self.subscribe(),
+            Due::Watch => {
+                self.watching = Watch::Ended;
+                self.subscribe();
+            }
             Due::Bans => {
                 let changed = self.bans.as_mut().map(Bans::follow).unwrap_or_default();
                 self.heed(changed);
@@ -387,13 +397,15 @@
                 let (kind, members) = self.servers.apply(&list);
                 self.events.push_back(Event::Sync { kind, members });
             }
-            News::Failed => {
-                self.watching = None;
+            News::Failed { silent } => {
+                self.watching = Watch::Ended;
                 match self.mode {
                     Discovery::Ask => {
                         self.events.push_back(Event::Sync { kind: SyncKind::Failed, members: Vec::new() })
                     }
-                    Discovery::Push => drop(self.due.insert(Due::Watch, AGAIN)),
+                    // It has been waited for already.
+                    Discovery::Push if silent => self.subscribe(),
+                    Discovery::Push => self.watching = Watch::Pauses(self.due.insert(Due::Watch, AGAIN)),
                 }
             }
         }
@@ -434,6 +446,8 @@
             Action::SetTimer { delay, timer } => {
                 self.due.insert(Due::Timer(timer), Duration::from_micros(delay));
             }
+            // One that is open or being opened answers this call too.
+            Action::Subscribe if matches!(self.watching, Watch::Open { .. }) => {}
             Action::Subscribe => self.subscribe(),
             Action::Tell { peer, data } => {
                 if let Some(peers) = &self.peers {
@@ -498,12 +512,20 @@
 
     /// Opens a watch in place of the one there may be.
     fn subscribe(&mut self) {
+        if let Watch::Pauses(due) = std::mem::replace(&mut self.watching, Watch::Ended) {
+            self.due.remove(&due);
+        }
         self.watch += 1;
         let (number, tx) = (self.watch, self.tx.clone());
         let (addr, revision) = (self.discovery, self.revision);
-        self.watching = Some(AbortOnDrop::spawn(async move {
-            watch(addr, revision, |news| drop(tx.send(Msg::News { watch: number, news }))).await;
-        }));
+        let patience = match self.mode {
+            Discovery::Push => AT_ONCE,
+            Discovery::Ask => IN_TURN,
+        };
+        let task = AbortOnDrop::spawn(async move {
+            watch(addr, revision, patience, |news| drop(tx.send(Msg::News { watch: number, news }))).await;
+        });
+        self.watching = Watch::Open { _task: task };
     }
 }
 
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -7,15 +7,13 @@
     let mut site = Site::new(2);
     let (request, mut stream) = site.watch();
     assert!(request.first.contains("/api/targets?stream=1&index=41 "), "{}", request.first);
+    assert!(reaches_first(&site));
     site.members[0]["phase"] = json!("terminating");
     let list = json!({"revision": 43, "complete": false, "members": [site.members[0]]}).to_string() + "\n";
     for part in list.as_bytes().chunks(7) {
         chunk(&mut stream, std::str::from_utf8(part).unwrap());
     }
-    until("the draining server is left alone", || {
-        (0..8).for_each(|n| assert_eq!(site.ask("pay", &n.to_string()).status(), 200));
-        !site.requests().iter().any(|(server, _)| *server == 0)
-    });
+    until("the draining server is left alone", || !reaches_first(&site));
     // A watch that ends is opened anew from the last version.
     drop(stream);
     let (request, _stream) = site.watch();
@@ -35,13 +33,11 @@
     assert!(request.first.contains("index=41 "), "{}", request.first);
     old.set_read_timeout(Some(PATIENCE)).unwrap();
     assert_eq!(old.read(&mut [0; 1]).expect("the old watch is closed"), 0);
+    assert!(reaches_first(&site));
     site.members[0]["phase"] = json!("terminating");
     let list = json!({"revision": 42, "complete": false, "members": [site.members[0]]});
     chunk(&mut stream, &format!("{list}\n"));
-    until("the draining server is left alone", || {
-        (0..8).for_each(|n| assert_eq!(site.ask("pay", &n.to_string()).status(), 200));
-        !site.requests().iter().any(|(server, _)| *server == 0)
-    });
+    until("the draining server is left alone", || !reaches_first(&site));
 }
 
 // A file that can't be read must not end the node or its watch.
@@ -65,3 +61,165 @@
     let (request, _stream) = site.watch();
     assert!(request.first.contains("index=41 "), "{}", request.first);
 }
+
+/// What a list may be late by, over a watch that fell silent and after SIGHUP: the platform's own bounds.
+const TOLD: Duration = Duration::from_secs(6);
+const TOLD_AFTER_SIGHUP: Duration = Duration::from_secs(4);
+
+/// A site of two servers to which lists are pushed, by a discovery whose every byte is the test's.
+fn pushed() -> (Site, Receiver<TcpStream>) {
+    let (addr, watches) = scripted();
+    let site = Site::shaped(2, &[], |config| {
+        config["settings"]["registry-mode"] = json!("push");
+        config["discovery"] = json!(addr.to_string());
+    });
+    (site, watches)
+}
+
+/// Reads a watch's call and answers its head.
+fn begin(watch: &mut TcpStream) -> Message {
+    let call = Message::read(&mut BufReader::new(watch.try_clone().unwrap())).expect("a call");
+    watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    call
+}
+
+/// Whether requests of many keys reach the first server.
+fn reaches_first(site: &Site) -> bool {
+    site.requests();
+    for n in 0..16 {
+        let text = String::from_utf8(request("pay", &n.to_string(), 60_000)).unwrap();
+        assert_eq!(site.raw(text.replace("key=7f3a", &format!("key={n}")).as_bytes()).status(), 200);
+    }
+    site.requests().iter().any(|(server, _)| *server == 0)
+}
+
+/// Tells that the first server drains, and returns once it is left alone.
+fn tell_drain(site: &mut Site, watch: &mut TcpStream) {
+    assert!(reaches_first(site));
+    site.members[0]["phase"] = json!("terminating");
+    let list = json!({"revision": 42, "complete": false, "members": [site.members[0]]});
+    chunk(watch, &format!("{list}\n"));
+    until("the draining server is left alone", || !reaches_first(site));
+}
+
+/// Where a watch falls silent.
+#[derive(Clone, Copy, Debug)]
+enum Silent {
+    Connected,
+    Head,
+    MidLine,
+    AfterALine,
+    /// Never quite: bytes come on and on, and no line does.
+    Trickles,
+}
+
+impl Silent {
+    fn fall(self, mut watch: TcpStream) -> TcpStream {
+        if !matches!(self, Silent::Connected) {
+            begin(&mut watch);
+        }
+        match self {
+            Silent::Connected | Silent::Head => {}
+            Silent::MidLine => chunk(&mut watch, "{\"revision\": 42, \"comp"),
+            Silent::AfterALine => {
+                chunk(&mut watch, "{\"revision\": 41, \"complete\": false, \"members\": []}\n")
+            }
+            Silent::Trickles => {
+                let mut watch = watch.try_clone().unwrap();
+                thread::spawn(move || {
+                    let mut parts = std::iter::once("{").chain(std::iter::repeat(" "));
+                    while parts
+                        .next()
+                        .is_some_and(|part| watch.write_all(format!("1\r\n{part}\r\n").as_bytes()).is_ok())
+                    {
+                        thread::sleep(Duration::from_millis(100));
+                    }
+                });
+            }
+        }
+        watch
+    }
+}
+
+// However it falls silent, and though the next call hangs as well, the list is known when it counts as told.
+#[test]
+fn a_watch_that_falls_silent_anywhere_is_replaced_before_its_news_count() {
+    for (silent, again) in [
+        (Silent::Connected, Silent::Connected),
+        (Silent::Head, Silent::Connected),
+        (Silent::MidLine, Silent::Head),
+        (Silent::AfterALine, Silent::MidLine),
+        (Silent::Trickles, Silent::Trickles),
+    ] {
+        let (mut site, watches) = pushed();
+        let first = watches.recv_timeout(PATIENCE).unwrap();
+        let start = Instant::now();
+        let _first = silent.fall(first);
+        let _second = again.fall(watches.recv_timeout(PATIENCE).unwrap());
+        let mut third = watches.recv_timeout(PATIENCE).unwrap();
+        begin(&mut third);
+        assert!(start.elapsed() < TOLD, "{silent:?}, then {again:?}: {:?}", start.elapsed());
+        tell_drain(&mut site, &mut third);
+    }
+}
+
+#[test]
+fn a_call_that_hangs_after_sighup_is_replaced_before_its_news_count() {
+    for silent in [Silent::Connected, Silent::Head, Silent::MidLine] {
+        let (mut site, watches) = pushed();
+        let mut old = watches.recv_timeout(PATIENCE).unwrap();
+        begin(&mut old);
+        let (moved, watches) = scripted();
+        site.config["discovery"] = json!(moved.to_string());
+        std::fs::write(site.file.path(), site.config.to_string()).unwrap();
+        let start = Instant::now();
+        site.signal("-HUP");
+        let _first = silent.fall(watches.recv_timeout(PATIENCE).unwrap());
+        let mut second = watches.recv_timeout(PATIENCE).unwrap();
+        begin(&mut second);
+        // The first is replaced with time left for one more: the bound less what one call may take.
+        let bound = TOLD_AFTER_SIGHUP - Duration::from_millis(500);
+        assert!(start.elapsed() < bound, "{silent:?}: {:?}", start.elapsed());
+        tell_drain(&mut site, &mut second);
+    }
+}
+
+// A watch broke and is to be opened again in a moment; SIGHUP opens one at another address before that.
+#[test]
+fn sighup_takes_the_place_of_a_reopening_that_waits() {
+    let (mut site, watches) = pushed();
+    let mut first = watches.recv_timeout(PATIENCE).unwrap();
+    begin(&mut first);
+    let (moved, at_new) = scripted();
+    site.config["discovery"] = json!(moved.to_string());
+    std::fs::write(site.file.path(), site.config.to_string()).unwrap();
+    // Once the node has closed its side, it knows.
+    first.shutdown(std::net::Shutdown::Write).unwrap();
+    assert_eq!(first.read(&mut [0; 1]).expect("closed"), 0);
+    site.signal("-HUP");
+    let mut watch = at_new.recv_timeout(PATIENCE).unwrap();
+    begin(&mut watch);
+    chunk(&mut watch, "\n");
+    // Longer than the reopening would have waited: torn down, this one would end.
+    watch.set_read_timeout(Some(Duration::from_millis(1_500))).unwrap();
+    let read = watch.read(&mut [0; 1]);
+    assert!(read.is_err(), "the new watch was closed");
+    assert!(at_new.try_recv().is_err(), "and opened again");
+}
+
+#[test]
+fn lists_may_come_indented() {
+    let (mut site, watches) = pushed();
+    let mut watch = watches.recv_timeout(PATIENCE).unwrap();
+    begin(&mut watch);
+    assert!(reaches_first(&site));
+    site.members[0]["phase"] = json!("terminating");
+    let list = json!({"revision": 42, "complete": true, "members": site.members});
+    let text = serde_json::to_string_pretty(&list).unwrap() + "\n";
+    // With a beat where a line was cut.
+    let cut = text.find("\"s-1\"").unwrap();
+    for part in [&text[..cut], "\n", &text[cut..]] {
+        chunk(&mut watch, part);
+    }
+    until("the draining server is left alone", || !reaches_first(&site));
+}
