An older list from a new address takes nothing back

Seen: after SIGHUP an address that is behind answers with a list of a lower revision; servers that the old address had told to drain were sent requests again (new test, whole list and changes; it fails on the tree before). Cause: Driver::news took any list's revision and states as the newest. Ruled out: to ignore such lists, as a discovery that counts anew would leave the node blind until its restart. Change: of a list older than the one held, what is new is added; what drains or went stays so until it starts again.

--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -212,7 +212,7 @@
         }
         self.bans = bans;
         self.revision = known.revision.unwrap_or(0);
-        let (_, members) = self.servers.apply(known);
+        let (_, members) = self.servers.apply(known, false);
         self.events.push_back(Event::Sync { kind: SyncKind::Cached, members });
         self.due.insert(Due::Tidy, TIDY);
         self.due.insert(Due::Report, REPORT);
@@ -393,8 +393,9 @@
     fn news(&mut self, news: News) {
         match news {
             News::List(list) => {
-                self.revision = list.revision.unwrap_or(self.revision);
-                let (kind, members) = self.servers.apply(&list);
+                let older = list.revision.is_some_and(|revision| revision < self.revision);
+                self.revision = list.revision.map_or(self.revision, |revision| revision.max(self.revision));
+                let (kind, members) = self.servers.apply(&list, older);
                 self.events.push_back(Event::Sync { kind, members });
             }
             News::Failed { silent } => {
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -147,8 +147,10 @@
 
     // The list.
 
-    /// Takes over a list and puts it in the module's words.
-    pub fn apply(&self, list: &List) -> (SyncKind, Vec<Member>) {
+    /// Takes over a list and puts it in the module's words. One of before the list that is held, from an
+    /// address that is behind or counts anew, adds what is new in it and takes back nothing: what was told
+    /// to drain or gone stays so until it starts again.
+    pub fn apply(&self, list: &List, older: bool) -> (SyncKind, Vec<Member>) {
         let mut entries = self.entries.borrow_mut();
         let mut names = self.names.borrow_mut();
         let mut places = self.places.borrow_mut();
@@ -157,6 +159,18 @@
         for entry in &list.entries {
             let number = server_number(&entry.id, &names);
             let server = ServerId(number);
+            let hash = xxh3_64(entry.id.as_bytes());
+            let overtaken = match entries.get(&server) {
+                Some(known) => {
+                    let returns =
+                        entry.state == ServerState::InService && known.state != ServerState::InService;
+                    entry.up_since_ms < known.since_ms || (returns && entry.up_since_ms == known.since_ms)
+                }
+                None => ever.contains(&hash),
+            };
+            if older && overtaken {
+                continue;
+            }
             members.push(Member {
                 server,
                 zone: places.zone(&entry.zone),
@@ -167,7 +181,7 @@
                 since: entry.up_since_ms.saturating_mul(1000),
             });
             if ever.len() < EVER {
-                ever.insert(xxh3_64(entry.id.as_bytes()));
+                ever.insert(hash);
             }
             if entry.state == ServerState::Terminated {
                 entries.remove(&server);
@@ -195,7 +209,7 @@
             known.state = entry.state;
             known.bar(out.contains(&server));
         }
-        if list.complete {
+        if list.complete && !older {
             let listed: HashSet<ServerId> = members.iter().map(|m| m.server).collect();
             entries.retain(|server, _| listed.contains(server));
             let kept = |server| listed.contains(&server) || out.contains(&server);
@@ -635,13 +649,13 @@
         let run = async {
             let servers = servers(8);
             let (old, new) = (named("old").await, named("new").await);
-            let (_, members) = servers.apply(&list(old, ServerState::InService, true));
+            let (_, members) = servers.apply(&list(old, ServerState::InService, true), false);
             let server = members[0].server;
             assert_eq!(text(servers.attempt(server, &call(), soon()).await), "old");
             let link = servers.idle_link(server).expect("kept");
-            servers.apply(&list(old, ServerState::Terminated, false));
+            servers.apply(&list(old, ServerState::Terminated, false), false);
             assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::ConnectFailed);
-            servers.apply(&list(new, ServerState::InService, false));
+            servers.apply(&list(new, ServerState::InService, false), false);
             servers.keep(server, link);
             assert_eq!(text(servers.attempt(server, &call(), soon()).await), "new");
         };
@@ -654,7 +668,7 @@
         let run = async {
             let servers = servers(8);
             let addr = named("").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
+            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
             let (_, epoch) = servers.address(server).unwrap();
             for _ in 0..2 {
                 let link = servers.dial(addr, epoch).await.unwrap();
@@ -673,7 +687,7 @@
         let run = async {
             let servers = servers(8);
             let addr = named("x").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
+            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
             let slow = Call { target: Uri::from_static("/slow"), ..call() };
             let (call, until) = (call(), Some(Instant::now() + Duration::from_millis(200)));
             let (slow, quick) =
@@ -724,7 +738,7 @@
                     closed.send(()).unwrap();
                 }
             });
-            let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
+            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
             assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::Ok);
             // Blocks the runtime, so that the close is there and unread.
             told.recv().unwrap();
@@ -739,8 +753,8 @@
         let run = async {
             let servers = servers(8);
             let addr = named("x").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
-            servers.apply(&list(addr, ServerState::Terminating, false));
+            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
+            servers.apply(&list(addr, ServerState::Terminating, false), false);
             tokio::time::pause();
             tokio::time::advance(Duration::from_millis(400)).await;
             let ended = servers.attempt(server, &call(), soon()).await;
@@ -755,7 +769,7 @@
         let run = async {
             let servers = servers(1);
             let addr = named("x").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
+            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
             assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::Ok);
             let permit = servers.permit().await;
             assert!(permit.is_some());
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -223,3 +223,35 @@
     }
     until("the draining server is left alone", || !reaches_first(&site));
 }
+
+// The address of a new configuration may be behind: what the old one told still binds.
+#[test]
+fn an_older_list_from_a_new_address_takes_nothing_back() {
+    for complete in [true, false] {
+        let (mut site, watches) = pushed();
+        let mut first = watches.recv_timeout(PATIENCE).unwrap();
+        begin(&mut first);
+        let before = site.members.clone();
+        tell_drain(&mut site, &mut first);
+        let (moved, at_new) = scripted();
+        site.config["discovery"] = json!(moved.to_string());
+        std::fs::write(site.file.path(), site.config.to_string()).unwrap();
+        site.signal("-HUP");
+        let mut watch = at_new.recv_timeout(PATIENCE).unwrap();
+        assert!(begin(&mut watch).first.contains("index=42 "));
+        // With a server that only this list names: once it is reached, the list is known.
+        let (tx, seen) = channel();
+        let addr = server(7, Arc::new(Mutex::new(Does::Serve)), tx);
+        let mut members = before;
+        let mut added = members[1].clone();
+        (added["id"], added["host_port"]) = (json!("s-7"), json!(addr.to_string()));
+        members.push(added);
+        let list = json!({"revision": 40, "complete": complete, "members": members});
+        chunk(&mut watch, &format!("{list}\n"));
+        until("the list is known", || {
+            assert!(!reaches_first(&site), "complete {complete}: an older list put a draining server back");
+            seen.try_iter().next().is_some()
+        });
+        assert!(!reaches_first(&site));
+    }
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -15,6 +15,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
