A span of over 30 days in the settings is refused by its key

Seen: a deadline of 10^18 microseconds is taken; the first request then ends the node, as the timer queue panics past two years, and sums such as key-ttl's with the clock overflow. Cause: Pairs::whole has no bound for times. Ruled out by a property test over lawful settings (tests/settings.rs, 256 deployments: every effect and key scope, tenants, absent and unknown fields, 1 ms to 30 days): no panic, all served. Change: times are read by Pairs::time, which names the key.

--- a/src/bin/woodgap/config.rs
+++ b/src/bin/woodgap/config.rs
@@ -105,7 +105,7 @@
         let mut pairs = Pairs::default();
         flatten("", &file.settings, &mut pairs);
         let (settings, names) = settings::parse(&pairs)?;
-        let micros = |path, default| pairs.whole(path, default).map(Duration::from_micros);
+        let micros = |path, default| pairs.time(path, default).map(Duration::from_micros);
         let figures = Figures {
             dial_timeout: micros("bounds.dial-timeout", 250_000)?,
             keepalive: micros("bounds.keepalive", 15_000_000)?,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,9 @@
 
 use crate::api::*;
 
+/// The longest span that a setting may name: sums of such spans and of clocks stay in range, at every host.
+const LONGEST: Micros = 30 * 24 * 3_600 * 1_000_000;
+
 /// What is wrong with an input.
 #[derive(Debug)]
 pub struct Fault(String);
@@ -140,6 +143,15 @@
         self.text(path).map_or(Ok(default), |text| number(text, path))
     }
 
+    /// The span at a path, in microseconds.
+    pub fn time(&self, path: &str, default: Micros) -> Result<Micros, Fault> {
+        let span = self.whole(path, default)?;
+        if span > LONGEST {
+            return Err(Fault(format!("field '{path}': '{span}' microseconds are more than 30 days")));
+        }
+        Ok(span)
+    }
+
     fn real(&self, path: &str, default: f64) -> Result<f64, Fault> {
         self.text(path).map_or(Ok(default), |text| finite(text, path))
     }
@@ -178,15 +190,15 @@
         second_copies: p.flag("bounds.second-copies"),
         max_attempts: p.whole("bounds.max-attempts", 1)?.min(u64::from(u32::MAX)) as u32,
         retry_after: p.flag("bounds.retry-after"),
-        max_retry_after: p.whole("bounds.max-retry-after", 0)?,
+        max_retry_after: p.time("bounds.max-retry-after", 0)?,
         handshake_price: p.real("deductions.handshake", 0.0)?,
         connection_price: p.real("deductions.connection", 0.0)?,
         start_capacity: p.real("rules.start-capacity", 1.0)?,
-        ramp_time: p.whole("rules.ramp-time", 0)?,
+        ramp_time: p.time("rules.ramp-time", 0)?,
         fall_multiple: p.real("rules.fall-multiple", 1.0)?,
-        dial_timeout: p.whole("bounds.dial-timeout", 0)?,
-        ask_within: p.whole("rules.ask-within", 10_000_000)?,
-        settle_after_doubt: p.whole("rules.settle-after-doubt", 0)?,
+        dial_timeout: p.time("bounds.dial-timeout", 0)?,
+        ask_within: p.time("rules.ask-within", 10_000_000)?,
+        settle_after_doubt: p.time("rules.settle-after-doubt", 0)?,
         full_may_have_run: p.flag("rules.may-shed-begun"),
     };
     Ok((settings, Names { classes: class_names, tenants: tenant_names }))
@@ -212,7 +224,7 @@
 }
 
 fn class(p: &Pairs, at: &str) -> Result<Class, Fault> {
-    let deadline = p.whole(&format!("{at}.deadline"), 1_000_000)?;
+    let deadline = p.time(&format!("{at}.deadline"), 1_000_000)?;
     let semantics = match p.text(&format!("{at}.semantics")) {
         Some("safe") => Semantics::Safe,
         Some("keyed") => Semantics::Keyed {
@@ -221,13 +233,13 @@
                 Some("zone") => KeyScope::Zone,
                 _ => KeyScope::Cell,
             },
-            ttl: p.whole(&format!("{at}.key-ttl"), 0)?,
+            ttl: p.time(&format!("{at}.key-ttl"), 0)?,
         },
         // What is not known to be repeatable is not repeated.
         _ => Semantics::Unsafe,
     };
     Ok(Class {
-        aim: p.whole(&format!("{at}.aim"), deadline)?,
+        aim: p.time(&format!("{at}.aim"), deadline)?,
         deadline,
         points: p.real(&format!("{at}.points"), 1.0)?,
         late_share: p.real(&format!("{at}.late-share"), 0.0)?,
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,118 @@
+//! Any lawful settings start a module that serves; an unlawful figure is refused by its name.
+
+mod common;
+
+use common::*;
+use proptest::prelude::*;
+use woodgap::settings::{parse, Pairs};
+use woodgap::*;
+
+/// A class as its settings say it.
+fn any_class() -> impl Strategy<Value = String> {
+    let semantics = prop_oneof![
+        Just("semantics=safe"),
+        Just("semantics=unsafe"),
+        Just("semantics=keyed key-scope=all"),
+        Just("semantics=keyed key-scope=zone"),
+        Just("semantics=keyed key-scope=cell"),
+        Just("semantics=keyed"),
+        Just("later=unknown"),
+    ];
+    let span = prop_oneof![1_000u64..400_000, 400_000u64..20_000_000, Just(30 * 24 * 3_600 * SECOND)];
+    (semantics, span, 0.0..=1.0f64, 0.0..1e6f64, any::<bool>(), 0u64..100 * SECOND).prop_map(
+        |(semantics, deadline, late, points, in_order, ttl)| {
+            let aim = deadline / 2;
+            format!(
+                "{semantics} deadline={deadline} aim={aim} late-share={late} points={points} \
+                serial-by-key={in_order} key-ttl={ttl}"
+            )
+        },
+    )
+}
+
+/// The settings' line of a deployment.
+fn any_settings() -> impl Strategy<Value = String> {
+    let classes = prop::collection::vec(any_class(), 1..9);
+    let tenants = prop::collection::vec(0.0..1e5f64, 0..4);
+    let flags = prop::array::uniform6(any::<bool>());
+    let figures = (1u64..400, 1u64..7, 0u64..60 * SECOND, 0.0..=1.0f64, 0u64..100 * SECOND, 0.1..10.0f64);
+    let prices = (0.0..1.0f64, 0.0..1.0f64, prop_oneof![Just("push"), Just("ask")]);
+    (classes, tenants, flags, figures, prices).prop_map(|(classes, tenants, flags, figures, prices)| {
+        let mut line = format!("classes.count={} tenants.count={} later.key=x", classes.len(), tenants.len());
+        for (n, class) in classes.iter().enumerate() {
+            class.split(' ').for_each(|pair| line += &format!(" classes.{n}.{pair}"));
+            line += &format!(" classes.{n}.name=c{n}");
+        }
+        for (n, quota) in tenants.iter().enumerate() {
+            line += &format!(" tenants.{n}.name=t{n} tenants.{n}.quota-per-s={quota}");
+        }
+        let [cancelling, probe, copies, after, warm, shed] = flags;
+        let (group, attempts, dial, start, ramp, fall) = figures;
+        let (handshake, connection, mode) = prices;
+        line + &format!(
+            " bounds.cancelling={cancelling} bounds.may-probe={probe} bounds.second-copies={copies} \
+            bounds.retry-after={after} domain.warm-keys={warm} rules.may-shed-begun={shed} group-size={group} \
+            bounds.max-attempts={attempts} bounds.dial-timeout={dial} rules.start-capacity={start} \
+            rules.ramp-time={ramp} rules.fall-multiple={fall} deductions.handshake={handshake} \
+            deductions.connection={connection} registry-mode={mode}"
+        )
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Servers that answer at once: each request is sent and served, whatever the deployment.
+    #[test]
+    fn any_lawful_deployment_is_served(line in any_settings(), servers in 1u32..40) {
+        let (settings, _) = parse(&Pairs::from_line(&line).unwrap()).unwrap();
+        let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
+        let mut node = Node::new(settings, (0..servers).map(member).collect());
+        let (mut served, mut asked) = (0, 0);
+        for n in 0..60u64 {
+            let tenant = (tenants > 0).then(|| TenantId(n as usize % tenants.max(1)));
+            let request = Request { tenant, key: (n % 3 > 0).then_some(Key(n)), ..request(n, n as usize % classes, n) };
+            let actions = node.event(Event::Request(request));
+            // One that a tenant sends past its share may be refused.
+            asked += 1;
+            if let Some(server) = sent(&actions) {
+                node.close_after(n, 0, server, Outcome::Ok, 500);
+                served += 1;
+            } else {
+                prop_assert!(refused(&actions) || failed(&actions) || !actions.is_empty(), "held without a word");
+            }
+            node.pass(300_000);
+        }
+        prop_assert!(served == asked || tenants > 0, "{served} of {asked} served");
+    }
+}
+
+// What can't be meant is refused, by the name of its key.
+#[test]
+fn an_unlawful_figure_is_named() {
+    for (key, value) in [
+        ("classes.count", "20000"),
+        ("classes.0.deadline", "soon"),
+        ("classes.0.deadline", "-1"),
+        ("classes.0.deadline", "18446744073709551615"),
+        ("classes.0.aim", "99999999999999999999"),
+        ("classes.0.key-ttl", "9000000000000000000"),
+        ("classes.0.points", "inf"),
+        ("classes.0.late-share", "NaN"),
+        ("bounds.dial-timeout", "9000000000000000000"),
+        ("bounds.max-attempts", "many"),
+        ("rules.ramp-time", "9000000000000000000"),
+        ("rules.fall-multiple", "x"),
+        ("rules.ask-within", "9000000000000000000"),
+        ("bounds.max-retry-after", "9000000000000000000"),
+        ("rules.settle-after-doubt", "9000000000000000000"),
+        ("tenants.0.quota-per-s", "x"),
+    ] {
+        let line = format!("classes.count=1 classes.0.semantics=keyed tenants.count=1 {key}={value}");
+        let fault = parse(&Pairs::from_line(&line).unwrap())
+            .err()
+            .unwrap_or_else(|| panic!("{key}={value} is taken"));
+        let text = fault.to_string();
+        assert!(text.contains(key) && !text.contains('\n'), "{text}");
+    }
+}
