Tests: odd and early answers, resets and copies at servers, each order made by hand

Change: tests/node/links.rs; a server of the test's own holds its bytes. Seven odd answers, an early one, an attempt that is closed before the next one is written, and an unsafe request reset once whole.

--- /dev/null
+++ b/tests/node/links.rs
@@ -0,0 +1,118 @@
+//! Connections to servers at the wrong instant: odd answers, closes, and copies that must not be out together.
+
+use super::*;
+
+/// A site whose servers are all at one address of the test's own, with attempts of at most this aim.
+fn site_at(addr: SocketAddr, servers: usize, aim: Duration) -> Site {
+    Site::shaped(0, &[], |config| {
+        let member = |n: usize| {
+            json!({"id": format!("s-{n}"), "host_port": addr.to_string(), "locality": "a", "flavor": "f",
+                "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0})
+        };
+        config["known"]["members"] = (0..servers).map(member).collect();
+        for class in config["settings"]["classes"].as_array_mut().unwrap() {
+            class["aim"] = json!(aim.as_micros() as u64);
+        }
+    })
+}
+
+/// Takes a connection and reads the request on it.
+fn taken(connections: &Receiver<TcpStream>) -> (TcpStream, Message) {
+    let server = connections.recv_timeout(PATIENCE).unwrap();
+    let request = Message::read(&mut BufReader::new(server.try_clone().unwrap())).expect("a request");
+    (server, request)
+}
+
+// Whatever else comes with an answer, the next request must not meet it.
+#[test]
+fn a_connection_with_an_odd_answer_carries_no_other_request() {
+    let whole = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+    for (odd, served) in [
+        (format!("{whole}{whole}"), true),
+        (format!("{whole}spare"), true),
+        (format!("{whole}\r\n\r\n"), true),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\none!".to_owned(), false),
+        ("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\none".to_owned(), false),
+        ("nonsense\r\n\r\n".to_owned(), false),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\none\r\n0\r\n\r\n".to_owned(), false),
+    ] {
+        let (addr, connections) = scripted();
+        let site = site_at(addr, 1, PATIENCE);
+        let mut client = site.dial();
+        client.write_all(&request("pay", "1", 60_000)).unwrap();
+        let (mut server, _) = taken(&connections);
+        server.write_all(odd.as_bytes()).unwrap();
+        let answer = Message::read(&mut BufReader::new(client)).unwrap();
+        assert_eq!(answer.status() == 200, served, "{odd}");
+        assert!(!served || answer.body == b"one", "{odd}");
+        // A reset, if bytes were left unread.
+        assert!(matches!(server.read(&mut [0; 1]), Ok(0) | Err(_)), "the connection stays open after {odd}");
+        let mut next = site.dial();
+        next.write_all(&request("pay", "2", 60_000)).unwrap();
+        let (mut server, came) = taken(&connections);
+        assert_eq!(came.header("x-txn"), "2");
+        server.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo").unwrap();
+        assert_eq!(Message::read(&mut BufReader::new(next)).unwrap().body, b"two");
+    }
+}
+
+// An answer that comes before its request is whole says nothing of the bytes that follow on it.
+#[test]
+fn a_connection_that_was_answered_early_carries_no_other_request() {
+    let (addr, connections) = scripted();
+    let site = site_at(addr, 1, PATIENCE);
+    let mut client = site.dial();
+    client.write_all(&post("pay", "1", 60_000, "Content-Length: 200000\r\n")).unwrap();
+    client.write_all(&[b'x'; 100_000]).unwrap();
+    let server = connections.recv_timeout(PATIENCE).unwrap();
+    let mut input = BufReader::new(server.try_clone().unwrap());
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        assert!(input.read_line(&mut line).unwrap() > 0);
+    }
+    (&server).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none").unwrap();
+    assert_eq!(Message::read(&mut BufReader::new(client.try_clone().unwrap())).unwrap().body, b"one");
+    // It ends, with whatever was on its way.
+    while input.read(&mut [0; 4096]).is_ok_and(|read| read > 0) {}
+    let mut next = site.dial();
+    next.write_all(&request("pay", "2", 60_000)).unwrap();
+    let (mut server, came) = taken(&connections);
+    assert_eq!(came.header("x-txn"), "2");
+    server.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo").unwrap();
+    assert_eq!(Message::read(&mut BufReader::new(next)).unwrap().body, b"two");
+}
+
+// Where two copies may not be out together, the first is over for its server before the second begins.
+#[test]
+fn an_attempt_is_closed_before_the_next_one_is_written() {
+    for _ in 0..10 {
+        let (addr, connections) = scripted();
+        let site = site_at(addr, 3, Duration::from_millis(300));
+        let mut client = site.dial();
+        client.write_all(&request("look", "1", 60_000)).unwrap();
+        let (mut first, _) = taken(&connections);
+        let (mut second, again) = taken(&connections);
+        assert_eq!(again.header("x-txn"), "1");
+        first.set_nonblocking(true).unwrap();
+        assert_eq!(first.read(&mut [0; 1]).expect("over before the second came"), 0);
+        second.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1").unwrap();
+        assert_eq!(Message::read(&mut BufReader::new(client)).unwrap().status(), 200);
+    }
+}
+
+// Reset after its last byte, an unsafe request may have run: it is neither sent again nor called harmless. That
+// one reset before it has not run is a test of `servers.rs`, where the write can be made to fail.
+#[test]
+fn an_unsafe_request_that_is_reset_once_whole_is_not_sent_again() {
+    let (addr, connections) = scripted();
+    let site = site_at(addr, 3, PATIENCE);
+    let mut client = site.dial();
+    client.write_all(&request("pay", "1", 60_000)).unwrap();
+    let (server, _) = taken(&connections);
+    socket2::SockRef::from(&server).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(server);
+    let status = Message::read(&mut BufReader::new(client)).unwrap().status();
+    assert!(![200, 429, 503].contains(&status), "{status}");
+    assert!(connections.try_recv().is_err(), "sent twice");
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod discovery;
 mod leaving;
+mod links;
 mod operators;
 mod requests;
 mod restart;
