Tests: a read that the system interrupts goes on

Seen: 1 of 45 runs of the restart tests failed in the test itself, its read ended with EINTR (restart.rs:131). Cause: std's read hands EINTR on, and a read with a time-out is not taken up again by the system after a halt.

--- a/tests/common/http.rs
+++ b/tests/common/http.rs
@@ -1,7 +1,7 @@
 //! Messages as the tests write and read them: byte by byte, with no library between.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -123,3 +123,14 @@
     )
     .into_bytes()
 }
+
+/// Reads a byte, or learns how the connection stands: 0 at its end. A wait that the system interrupts, as where the
+/// whole machine is halted for a moment, goes on.
+pub fn one_byte(input: &mut impl Read) -> std::io::Result<usize> {
+    loop {
+        match input.read(&mut [0; 1]) {
+            Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
+            read => return read,
+        }
+    }
+}
--- a/tests/node/clients.rs
+++ b/tests/node/clients.rs
@@ -96,7 +96,7 @@
     until("a client finds room", || site.ask("pay", "2").status() == 200);
     // Before the silent ones would have been turned out anyway.
     assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
-    assert_eq!(silent[0].read(&mut [0; 1]).expect("the oldest is closed"), 0);
+    assert_eq!(one_byte(&mut silent[0]).expect("the oldest is closed"), 0);
     // One that has asked keeps its place.
     client.write_all(&request("pay", "3", 60_000)).unwrap();
     assert_eq!(Message::read(&mut input).unwrap().status(), 200);
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -32,7 +32,7 @@
     let (request, mut stream) = moved.recv_timeout(PATIENCE).expect("a watch at the new address");
     assert!(request.first.contains("index=41 "), "{}", request.first);
     old.set_read_timeout(Some(PATIENCE)).unwrap();
-    assert_eq!(old.read(&mut [0; 1]).expect("the old watch is closed"), 0);
+    assert_eq!(one_byte(&mut old).expect("the old watch is closed"), 0);
     assert!(reaches_first(&site));
     site.members[0]["phase"] = json!("terminating");
     let list = json!({"revision": 42, "complete": false, "members": [site.members[0]]});
@@ -195,14 +195,14 @@
     std::fs::write(site.file.path(), site.config.to_string()).unwrap();
     // Once the node has closed its side, it knows.
     first.shutdown(std::net::Shutdown::Write).unwrap();
-    assert_eq!(first.read(&mut [0; 1]).expect("closed"), 0);
+    assert_eq!(one_byte(&mut first).expect("closed"), 0);
     site.signal("-HUP");
     let mut watch = at_new.recv_timeout(PATIENCE).unwrap();
     begin(&mut watch);
     chunk(&mut watch, "\n");
     // Longer than the reopening would have waited: torn down, this one would end.
     watch.set_read_timeout(Some(Duration::from_millis(1_500))).unwrap();
-    let read = watch.read(&mut [0; 1]);
+    let read = one_byte(&mut watch);
     assert!(read.is_err(), "the new watch was closed");
     assert!(at_new.try_recv().is_err(), "and opened again");
 }
--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -81,7 +81,7 @@
             assert_eq!(Message::read(&mut input).unwrap().header("x-txn"), "1");
             client.write_all(&bytes).unwrap();
             let _kept = goes.go(client);
-            assert_eq!(input.read(&mut [0; 1]).expect("the attempt is ended"), 0, "{goes:?} behind {what}");
+            assert_eq!(one_byte(&mut input).expect("the attempt is ended"), 0, "{goes:?} behind {what}");
         }
     }
 }
@@ -105,7 +105,7 @@
             let answer =
                 "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
             server.write_all(answer.as_bytes()).unwrap();
-            assert_eq!(input.read(&mut [0; 1]).expect("closed"), 0);
+            assert_eq!(one_byte(&mut input).expect("closed"), 0);
             let mut other = site.dial();
             other.write_all(&request("look", "2", 60_000)).unwrap();
             let next = connections.recv_timeout(PATIENCE).unwrap();
@@ -154,10 +154,10 @@
         site.signal("-TERM");
         // Idle connections close once the drain is past its beginning.
         let mut idle = site.dial();
-        assert_eq!(idle.read(&mut [0; 1]).expect("closed"), 0);
+        assert_eq!(one_byte(&mut idle).expect("closed"), 0);
         client.write_all(b"GET /api?ke").unwrap();
         let _kept = goes.go(client);
-        assert_eq!(input.read(&mut [0; 1]).expect("the attempt is ended"), 0, "{goes:?}");
+        assert_eq!(one_byte(&mut input).expect("the attempt is ended"), 0, "{goes:?}");
         assert!(site.node.wait().unwrap().success());
     }
 }
--- a/tests/node/links.rs
+++ b/tests/node/links.rs
@@ -46,7 +46,7 @@
         assert_eq!(answer.status() == 200, served, "{odd}");
         assert!(!served || answer.body == b"one", "{odd}");
         // A reset, if bytes were left unread.
-        assert!(matches!(server.read(&mut [0; 1]), Ok(0) | Err(_)), "the connection stays open after {odd}");
+        assert!(matches!(one_byte(&mut server), Ok(0) | Err(_)), "the connection stays open after {odd}");
         let mut next = site.dial();
         next.write_all(&request("pay", "2", 60_000)).unwrap();
         let (mut server, came) = taken(&connections);
@@ -95,7 +95,7 @@
         let (mut second, again) = taken(&connections);
         assert_eq!(again.header("x-txn"), "1");
         first.set_nonblocking(true).unwrap();
-        assert_eq!(first.read(&mut [0; 1]).expect("over before the second came"), 0);
+        assert_eq!(one_byte(&mut first).expect("over before the second came"), 0);
         second.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1").unwrap();
         assert_eq!(Message::read(&mut BufReader::new(client)).unwrap().status(), 200);
     }
--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -42,7 +42,7 @@
     assert_eq!(site.call("GET /status").status(), 200);
     for stream in &mut stuck {
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        assert_eq!(stream.read(&mut [0; 1]).expect("closed"), 0);
+        assert_eq!(one_byte(stream).expect("closed"), 0);
     }
 }
 
--- a/tests/node/restart.rs
+++ b/tests/node/restart.rs
@@ -128,7 +128,7 @@
 fn drained(site: &Site) {
     let mut idle = site.dial();
     site.signal("-TERM");
-    assert_eq!(idle.read(&mut [0; 1]).expect("closed"), 0);
+    assert_eq!(one_byte(&mut idle).expect("closed"), 0);
 }
 
 // What comes more than 0.7 s after SIGTERM is lost if SIGKILL finds it unanswered, 3.7 s after SIGTERM at
