A connection to a server rests for 30 ms after its answer

Ruled out: a spare answer that is there before the next request is taken: hyper ends the connection (tests/node/links.rs). Change: connections are picked from those that have rested; the latest first, as before. Two tests expected use at once: they wait for the rest now and check the same.

--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -31,6 +31,9 @@
 /// Connections are reused for this part of the time that servers keep them: a request that meets
 /// the server's close on its way ends as a reset, and an unsafe one can't be sent again.
 const REUSE: f64 = 0.6;
+/// After an answer a connection rests for so long: a second answer that comes some milliseconds late would
+/// be taken for that of the next request, and a close that follows its answer would meet it on its way.
+const REST: Duration = Duration::from_millis(30);
 
 /// Ids that are remembered past their time on the list.
 const EVER: usize = 1 << 16;
@@ -324,7 +327,9 @@
         let longest = self.figures.keepalive.mul_f64(REUSE);
         let mut entries = self.entries.borrow_mut();
         let entry = entries.get_mut(&server)?;
-        while let Some(link) = entry.idle.pop() {
+        let rested = |link: &Link| link.idle_since.elapsed() >= REST;
+        while let Some(last) = entry.idle.iter().rposition(rested) {
+            let link = entry.idle.remove(last);
             if !link.sender.is_closed() && link.idle_since.elapsed() < longest {
                 return Some(link);
             }
@@ -652,6 +657,7 @@
             let (_, members) = servers.apply(&list(old, ServerState::InService, true), false);
             let server = members[0].server;
             assert_eq!(text(servers.attempt(server, &call(), soon()).await), "old");
+            tokio::time::sleep(REST).await;
             let link = servers.idle_link(server).expect("kept");
             servers.apply(&list(old, ServerState::Terminated, false), false);
             assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::ConnectFailed);
@@ -662,6 +668,25 @@
         LocalSet::new().run_until(run).await;
     }
 
+    // A second answer that is still on its way would be taken for that of the next request.
+    #[tokio::test]
+    async fn a_connection_rests_after_its_answer() {
+        let run = async {
+            let servers = servers(8);
+            let addr = named("x").await;
+            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
+            let (_, epoch) = servers.address(server).unwrap();
+            let link = servers.dial(addr, epoch).await.unwrap();
+            tokio::time::pause();
+            servers.keep(server, link);
+            assert!(servers.idle_link(server).is_none(), "just answered");
+            tokio::time::advance(REST).await;
+            let (link, again) = (servers.idle_link(server), servers.idle_link(server));
+            assert!(link.is_some() && again.is_none(), "rested");
+        };
+        LocalSet::new().run_until(run).await;
+    }
+
     // A machine that vanished is silent on open connections: after a time-out the idle ones must go.
     #[tokio::test]
     async fn a_timeout_closes_idle_connections() {
--- a/tests/node/requests.rs
+++ b/tests/node/requests.rs
@@ -112,6 +112,8 @@
     for n in 0..10 {
         assert_eq!(site.ask("pay", &n.to_string()).status(), 200);
         until("the server closed", || site.seen.try_iter().any(|seen| matches!(seen, Seen::Closed)));
+        // Past the connection's rest, in which it would not be used anyway.
+        thread::sleep(Duration::from_millis(50));
     }
 }
 
