Tests: a leaving over a time-out, a turn and many connections; a close that crosses a request

Change: three tests of leavings, one of a request that crosses the close of its connection in a drain (the stopped process finds both together), one of SIGHUP's call beside the module's own.

--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -255,3 +255,27 @@
         assert!(!reaches_first(&site));
     }
 }
+
+// Where lists are asked for, the module asks again by itself while SIGHUP's call is on its way: one call is enough.
+#[test]
+fn a_call_of_sighup_stands_for_the_module_s_own() {
+    let (addr, watches) = scripted();
+    let mut site = Site::shaped(2, &[], |config| config["discovery"] = json!(addr.to_string()));
+    let mut first = watches.recv_timeout(PATIENCE).unwrap();
+    begin(&mut first);
+    let (moved, at_new) = scripted();
+    site.config["discovery"] = json!(moved.to_string());
+    std::fs::write(site.file.path(), site.config.to_string()).unwrap();
+    first.shutdown(std::net::Shutdown::Write).unwrap();
+    assert_eq!(one_byte(&mut first).expect("closed"), 0);
+    site.signal("-HUP");
+    // Not answered until the module's own call would have come: within half of ask-within, and half more.
+    let mut watch = at_new.recv_timeout(PATIENCE).unwrap();
+    let call = Message::read(&mut BufReader::new(watch.try_clone().unwrap()));
+    assert!(call.is_some());
+    watch.set_read_timeout(Some(Duration::from_millis(1_500))).unwrap();
+    assert!(one_byte(&mut watch).is_err(), "the call was given up");
+    assert!(at_new.try_recv().is_err(), "and made again");
+    watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    tell_drain(&mut site, &mut watch);
+}
--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -180,3 +180,99 @@
     }
     writer.join().unwrap();
 }
+
+// The time-out of a hung server would bring a second copy, for nobody.
+#[test]
+fn a_time_out_brings_no_second_copy_for_a_client_that_left() {
+    for goes in WAYS {
+        let (addr, connections) = scripted();
+        let site = Site::shaped(0, &[("BALANCER_OPERATOR", "127.0.0.1:0")], |config| {
+            config["settings"]["bounds"]["cancelling"] = json!(false);
+            config["settings"]["classes"][0]["aim"] = json!(500_000);
+            let member = |n: usize| {
+                json!({"id": format!("s-{n}"), "host_port": addr.to_string(), "locality": "a", "flavor": "f",
+                    "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0})
+            };
+            config["known"]["members"] = (0..3).map(member).collect();
+        });
+        let mut client = site.dial();
+        client.write_all(&request("look", "1", 60_000)).unwrap();
+        client.write_all(b"GET /api?ke").unwrap();
+        let mut input = BufReader::new(accepted(&connections));
+        assert_eq!(Message::read(&mut input).unwrap().header("x-txn"), "1");
+        let _kept = goes.go(client);
+        until("the leaving is known", || site.figure("svc_outstanding") == 0);
+        // The attempt may not be cancelled, and ends with its time.
+        assert_eq!(one_byte(&mut input).expect("timed out"), 0);
+        let mut other = site.dial();
+        other.write_all(&request("pay", "2", 60_000)).unwrap();
+        let next = Message::read(&mut BufReader::new(accepted(&connections))).expect("a request");
+        assert_eq!(next.header("x-txn"), "2", "{goes:?}");
+    }
+}
+
+// Requests of one key go one after the other: one whose client left gives its turn to the next.
+#[test]
+fn a_request_that_waits_for_its_turn_is_not_sent_once_its_client_left() {
+    for goes in WAYS {
+        let (addr, connections) = scripted();
+        let site = Site::shaped(0, &[("BALANCER_OPERATOR", "127.0.0.1:0")], |config| {
+            config["settings"]["classes"][1]["serial-by-key"] = json!(true);
+            // The module lets it wait for far longer than its leaving takes to be seen.
+            config["settings"]["classes"][1]["aim"] = json!(60_000_000);
+            config["known"]["members"] = json!([{"id": "s-0", "host_port": addr.to_string(), "locality": "a",
+                "flavor": "f", "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0}]);
+        });
+        let mut first = site.dial();
+        first.write_all(&request("pay", "1", 60_000)).unwrap();
+        let mut server = accepted(&connections);
+        assert_eq!(
+            Message::read(&mut BufReader::new(server.try_clone().unwrap())).unwrap().header("x-txn"),
+            "1"
+        );
+        let mut waiting = site.dial();
+        waiting.write_all(&request("pay", "2", 60_000)).unwrap();
+        until("it waits", || site.figure("svc_outstanding") == 2);
+        waiting.write_all(&request("pay", "ahead", 60_000)).unwrap();
+        let left = Instant::now();
+        let _kept = goes.go(waiting);
+        until("the leaving is known", || site.figure("svc_outstanding") == 1);
+        assert!(left.elapsed() < SEEN_WITHIN, "{goes:?}: it was the module that gave up");
+        let mut third = site.dial();
+        third.write_all(&request("pay", "3", 60_000)).unwrap();
+        until("the next one waits", || site.figure("svc_outstanding") == 2);
+        server.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\n1").unwrap();
+        assert_eq!(Message::read(&mut BufReader::new(first)).unwrap().body, b"1");
+        let next = Message::read(&mut BufReader::new(accepted(&connections))).expect("a request");
+        assert_eq!(next.header("x-txn"), "3", "{goes:?}");
+    }
+}
+
+// Some give up at once and come again, others send much and go: those that stay find the node as it was.
+#[test]
+fn clients_that_give_up_and_come_again_leave_nothing_behind() {
+    let (addr, connections) = scripted();
+    let site = site_with(addr, 0, true);
+    for n in 0..60 {
+        let mut client = site.dial();
+        client.write_all(&request("look", &n.to_string(), 60_000)).unwrap();
+        if n % 3 == 0 {
+            client.write_all(&request("look", "ahead", 60_000).repeat(100)).unwrap();
+        }
+        // With its server, or at any moment before.
+        let _taken = (n % 2 == 0).then(|| accepted(&connections));
+        WAYS[n % 3].go(client);
+    }
+    until("nothing is held", || site.figure("svc_outstanding") == 0);
+    let mut client = site.dial();
+    client.write_all(&request("look", "last", 60_000)).unwrap();
+    loop {
+        let mut server = accepted(&connections);
+        let came = Message::read(&mut BufReader::new(server.try_clone().unwrap()));
+        if came.is_some_and(|came| came.header("x-txn") == "last") {
+            server.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlast").unwrap();
+            break;
+        }
+    }
+    assert_eq!(Message::read(&mut BufReader::new(client)).unwrap().body, b"last");
+}
--- a/tests/node/restart.rs
+++ b/tests/node/restart.rs
@@ -231,3 +231,31 @@
     server.join().unwrap();
     assert!(site.node.wait().unwrap().success());
 }
+
+// Stopped over the moment at which idle connections close, the node finds a request and the close together:
+// the request is answered, or no server ever sees it and its client may send it once more.
+#[test]
+fn a_request_that_crosses_the_close_of_its_connection_is_served_or_unread() {
+    for n in 0..6 {
+        let mut site = Site::new(1);
+        let id = n.to_string();
+        let mut kept = site.dial();
+        kept.write_all(&request("pay", "first", 60_000)).unwrap();
+        let mut answers = BufReader::new(kept.try_clone().unwrap());
+        assert_eq!(Message::read(&mut answers).unwrap().status(), 200);
+        site.signal("-TERM");
+        until("it drains", || site.raw(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 503);
+        site.signal("-STOP");
+        kept.write_all(&request("pay", &id, 60_000)).unwrap();
+        // Longer than idle connections stay in a drain.
+        thread::sleep(Duration::from_millis(700));
+        site.signal("-CONT");
+        let answer = Message::read(&mut answers);
+        assert!(site.node.wait().unwrap().success());
+        let times = site.requests().iter().filter(|(_, request)| request.header("x-txn") == id).count();
+        match answer {
+            Some(answer) => assert_eq!((answer.status(), answer.body, times), (200, id.into_bytes(), 1)),
+            None => assert_eq!(times, 0, "run and not answered"),
+        }
+    }
+}
