Tests: clients that come and go need not each be sent on to be checked

Seen: 1 of 50 runs failed, as one of 60 requests to a server that never answers was refused and not sent (tests/node/leaving.rs:54), which the module may do. Change: the clients go at any moment; what is held must end and those that stay be served, as before.

--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -251,28 +251,25 @@
 // Some give up at once and come again, others send much and go: those that stay find the node as it was.
 #[test]
 fn clients_that_give_up_and_come_again_leave_nothing_behind() {
-    let (addr, connections) = scripted();
-    let site = site_with(addr, 0, true);
+    let site = Site::operated(1);
+    site.all_do(Does::Hold);
+    let start = Instant::now();
     for n in 0..60 {
         let mut client = site.dial();
         client.write_all(&request("look", &n.to_string(), 60_000)).unwrap();
-        if n % 3 == 0 {
+        if n % 2 == 0 {
             client.write_all(&request("look", "ahead", 60_000).repeat(100)).unwrap();
         }
-        // With its server, or at any moment before.
-        let _taken = (n % 2 == 0).then(|| accepted(&connections));
+        // At any moment on its way, or once the node holds it or has refused it.
+        if n % 4 < 2 {
+            until("it is taken", || site.figure("svc_outstanding") > 0 || site.figure(REFUSED) > 0);
+        }
         WAYS[n % 3].go(client);
     }
     until("nothing is held", || site.figure("svc_outstanding") == 0);
-    let mut client = site.dial();
-    client.write_all(&request("look", "last", 60_000)).unwrap();
-    loop {
-        let mut server = accepted(&connections);
-        let came = Message::read(&mut BufReader::new(server.try_clone().unwrap()));
-        if came.is_some_and(|came| came.header("x-txn") == "last") {
-            server.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlast").unwrap();
-            break;
-        }
-    }
-    assert_eq!(Message::read(&mut BufReader::new(client)).unwrap().body, b"last");
+    assert!(start.elapsed() < 2 * SEEN_WITHIN, "it was the module that gave up");
+    site.all_do(Does::Serve);
+    until("those that stay are served", || site.ask("look", "last").status() == 200);
 }
+
+const REFUSED: &str = "svc_declined_total{service=\"look\"}";
