Tests: one way to name a listed server and one to hand on connections

Need: the new tests wrote a list entry six times and an accept loop twice. Change: listed() in tests/common/site.rs, connections() in stand_ins.rs; no check changes.

--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -104,8 +104,7 @@
             .enumerate()
             .map(|(i, does)| {
                 let addr = server(i, does.clone(), tx.clone());
-                json!({"id": format!("s-{i}"), "host_port": addr.to_string(), "locality": "a", "flavor": "f",
-                    "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0})
+                listed(&format!("s-{i}"), addr)
             })
             .collect();
         let (tx, watches) = channel();
@@ -184,6 +183,12 @@
     }
 }
 
+/// A server in service, as discovery names it.
+pub fn listed(id: &str, addr: SocketAddr) -> Value {
+    json!({"id": id, "host_port": addr.to_string(), "locality": "a", "flavor": "f", "cell": 0,
+        "phase": "in_service", "size": 1.0, "up_since_ms": 0})
+}
+
 /// Waits for a condition.
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let start = Instant::now();
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -136,6 +136,11 @@
 pub fn scripted() -> (SocketAddr, Receiver<TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
+    (addr, connections(listener))
+}
+
+/// The connections that come to a listener.
+fn connections(listener: TcpListener) -> Receiver<TcpStream> {
     let (tx, connections) = channel();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -145,7 +150,7 @@
             }
         }
     });
-    (addr, connections)
+    connections
 }
 
 /// A listener whose backlog is full: connections to it do not come up before `open`.
@@ -184,16 +189,7 @@
         for _ in &fillers {
             drop(listener.accept().unwrap());
         }
-        let (tx, connections) = channel();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                stream.set_read_timeout(Some(PATIENCE)).unwrap();
-                if tx.send(stream).is_err() {
-                    return;
-                }
-            }
-        });
-        connections
+        connections(listener)
     }
 }
 
--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -62,8 +62,7 @@
         config["settings"]["bounds"]["cancelling"] = json!(cancelling);
         config["settings"]["bounds"]["dial-timeout"] = json!(60_000_000);
         let members = config["known"]["members"].as_array_mut().unwrap();
-        members.push(json!({"id": "s-own", "host_port": addr.to_string(), "locality": "a", "flavor": "f",
-            "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0}));
+        members.push(listed("s-own", addr));
     })
 }
 
@@ -189,10 +188,7 @@
         let site = Site::shaped(0, &[("BALANCER_OPERATOR", "127.0.0.1:0")], |config| {
             config["settings"]["bounds"]["cancelling"] = json!(false);
             config["settings"]["classes"][0]["aim"] = json!(500_000);
-            let member = |n: usize| {
-                json!({"id": format!("s-{n}"), "host_port": addr.to_string(), "locality": "a", "flavor": "f",
-                    "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0})
-            };
+            let member = |n: usize| listed(&format!("s-{n}"), addr);
             config["known"]["members"] = (0..3).map(member).collect();
         });
         let mut client = site.dial();
@@ -220,8 +216,7 @@
             config["settings"]["classes"][1]["serial-by-key"] = json!(true);
             // The module lets it wait for far longer than its leaving takes to be seen.
             config["settings"]["classes"][1]["aim"] = json!(60_000_000);
-            config["known"]["members"] = json!([{"id": "s-0", "host_port": addr.to_string(), "locality": "a",
-                "flavor": "f", "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0}]);
+            config["known"]["members"] = json!([listed("s-0", addr)]);
         });
         let mut first = site.dial();
         first.write_all(&request("pay", "1", 60_000)).unwrap();
--- a/tests/node/links.rs
+++ b/tests/node/links.rs
@@ -5,10 +5,7 @@
 /// A site whose servers are all at one address of the test's own, with attempts of at most this aim.
 fn site_at(addr: SocketAddr, servers: usize, aim: Duration) -> Site {
     Site::shaped(0, &[], |config| {
-        let member = |n: usize| {
-            json!({"id": format!("s-{n}"), "host_port": addr.to_string(), "locality": "a", "flavor": "f",
-                "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0})
-        };
+        let member = |n: usize| listed(&format!("s-{n}"), addr);
         config["known"]["members"] = (0..servers).map(member).collect();
         for class in config["settings"]["classes"].as_array_mut().unwrap() {
             class["aim"] = json!(aim.as_micros() as u64);
--- a/tests/node/restart.rs
+++ b/tests/node/restart.rs
@@ -202,8 +202,7 @@
 fn requests_that_wait_at_sigterm_are_answered() {
     let late = Late::new();
     let mut site = Site::shaped(0, &[], |config| {
-        config["known"]["members"] = json!([{"id": "s-late", "host_port": late.addr.to_string(), "locality": "a",
-            "flavor": "f", "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0}]);
+        config["known"]["members"] = json!([listed("s-late", late.addr)]);
         config["settings"]["bounds"]["dial-timeout"] = json!(20_000_000);
     });
     let mut dialling = site.dial();
