Tests: discovery's move and the request after an odd answer are written once

Need: a last reading found the new configuration written to the file five times, the request that follows an odd answer twice, and a parameter of site_with that was always 0. Change: Site::names_discovery, next_is_served; the parameter goes. No check changes.

--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -174,6 +174,12 @@
         self.seen.try_iter().filter_map(taken).collect()
     }
 
+    /// Names another address of discovery in the node's file, which it reads at SIGHUP.
+    pub fn names_discovery(&mut self, addr: SocketAddr) {
+        self.config["discovery"] = json!(addr.to_string());
+        std::fs::write(self.file.path(), self.config.to_string()).unwrap();
+    }
+
     pub fn signal(&self, name: &str) {
         signal(&self.node, name);
     }
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -26,8 +26,7 @@
     let mut site = Site::new(4);
     let (_, mut old) = site.watch();
     let (tx, moved) = channel();
-    site.config["discovery"] = json!(discovery(tx).to_string());
-    std::fs::write(site.file.path(), site.config.to_string()).unwrap();
+    site.names_discovery(discovery(tx));
     site.signal("-HUP");
     let (request, mut stream) = moved.recv_timeout(PATIENCE).expect("a watch at the new address");
     assert!(request.first.contains("index=41 "), "{}", request.first);
@@ -171,8 +170,7 @@
         let mut old = watches.recv_timeout(PATIENCE).unwrap();
         begin(&mut old);
         let (moved, watches) = scripted();
-        site.config["discovery"] = json!(moved.to_string());
-        std::fs::write(site.file.path(), site.config.to_string()).unwrap();
+        site.names_discovery(moved);
         let start = Instant::now();
         site.signal("-HUP");
         let _first = silent.fall(watches.recv_timeout(PATIENCE).unwrap());
@@ -192,8 +190,7 @@
     let mut first = watches.recv_timeout(PATIENCE).unwrap();
     begin(&mut first);
     let (moved, at_new) = scripted();
-    site.config["discovery"] = json!(moved.to_string());
-    std::fs::write(site.file.path(), site.config.to_string()).unwrap();
+    site.names_discovery(moved);
     // Once the node has closed its side, it knows.
     first.shutdown(std::net::Shutdown::Write).unwrap();
     assert_eq!(one_byte(&mut first).expect("closed"), 0);
@@ -235,8 +232,7 @@
         let before = site.members.clone();
         tell_drain(&mut site, &mut first);
         let (moved, at_new) = scripted();
-        site.config["discovery"] = json!(moved.to_string());
-        std::fs::write(site.file.path(), site.config.to_string()).unwrap();
+        site.names_discovery(moved);
         site.signal("-HUP");
         let mut watch = at_new.recv_timeout(PATIENCE).unwrap();
         assert!(begin(&mut watch).first.contains("index=42 "));
@@ -265,8 +261,7 @@
     let mut first = watches.recv_timeout(PATIENCE).unwrap();
     begin(&mut first);
     let (moved, at_new) = scripted();
-    site.config["discovery"] = json!(moved.to_string());
-    std::fs::write(site.file.path(), site.config.to_string()).unwrap();
+    site.names_discovery(moved);
     first.shutdown(std::net::Shutdown::Write).unwrap();
     assert_eq!(one_byte(&mut first).expect("closed"), 0);
     site.signal("-HUP");
--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -57,8 +57,8 @@
 }
 
 /// A site with one server of the test's own, and whether attempts may be cancelled.
-fn site_with(addr: SocketAddr, others: usize, cancelling: bool) -> Site {
-    Site::shaped(others, &[("BALANCER_OPERATOR", "127.0.0.1:0")], |config| {
+fn site_with(addr: SocketAddr, cancelling: bool) -> Site {
+    Site::shaped(0, &[("BALANCER_OPERATOR", "127.0.0.1:0")], |config| {
         config["settings"]["bounds"]["cancelling"] = json!(cancelling);
         config["settings"]["bounds"]["dial-timeout"] = json!(60_000_000);
         let members = config["known"]["members"].as_array_mut().unwrap();
@@ -72,7 +72,7 @@
     for goes in WAYS {
         for (what, bytes) in ahead() {
             let (addr, connections) = scripted();
-            let site = site_with(addr, 0, true);
+            let site = site_with(addr, true);
             let mut client = site.dial();
             client.write_all(&request("look", "1", 60_000)).unwrap();
             let server = accepted(&connections);
@@ -91,7 +91,7 @@
     for goes in WAYS {
         for (what, bytes) in ahead() {
             let (addr, connections) = scripted();
-            let site = site_with(addr, 0, false);
+            let site = site_with(addr, false);
             let mut client = site.dial();
             client.write_all(&request("look", "1", 60_000)).unwrap();
             let mut server = accepted(&connections);
@@ -121,7 +121,7 @@
     for cancelling in [true, false] {
         for goes in WAYS {
             let late = Late::new();
-            let site = site_with(late.addr, 0, cancelling);
+            let site = site_with(late.addr, cancelling);
             let mut client = site.dial();
             client.write_all(&request("pay", "1", 60_000)).unwrap();
             until("it dials", || late.knocking() == 1);
@@ -145,7 +145,7 @@
 fn a_client_that_leaves_during_a_drain_is_seen_too() {
     for goes in WAYS {
         let (addr, connections) = scripted();
-        let mut site = site_with(addr, 0, true);
+        let mut site = site_with(addr, true);
         let mut client = site.dial();
         client.write_all(&request("look", "1", 60_000)).unwrap();
         let mut input = BufReader::new(accepted(&connections));
--- a/tests/node/links.rs
+++ b/tests/node/links.rs
@@ -20,6 +20,16 @@
     (server, request)
 }
 
+/// The next request comes on a connection of its own and has its own answer.
+fn next_is_served(site: &Site, connections: &Receiver<TcpStream>) {
+    let mut next = site.dial();
+    next.write_all(&request("pay", "2", 60_000)).unwrap();
+    let (mut server, came) = taken(connections);
+    assert_eq!(came.header("x-txn"), "2");
+    server.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo").unwrap();
+    assert_eq!(Message::read(&mut BufReader::new(next)).unwrap().body, b"two");
+}
+
 // Whatever else comes with an answer, the next request must not meet it.
 #[test]
 fn a_connection_with_an_odd_answer_carries_no_other_request() {
@@ -44,12 +54,7 @@
         assert!(!served || answer.body == b"one", "{odd}");
         // A reset, if bytes were left unread.
         assert!(matches!(one_byte(&mut server), Ok(0) | Err(_)), "the connection stays open after {odd}");
-        let mut next = site.dial();
-        next.write_all(&request("pay", "2", 60_000)).unwrap();
-        let (mut server, came) = taken(&connections);
-        assert_eq!(came.header("x-txn"), "2");
-        server.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo").unwrap();
-        assert_eq!(Message::read(&mut BufReader::new(next)).unwrap().body, b"two");
+        next_is_served(&site, &connections);
     }
 }
 
@@ -72,12 +77,7 @@
     assert_eq!(Message::read(&mut BufReader::new(client.try_clone().unwrap())).unwrap().body, b"one");
     // It ends, with whatever was on its way.
     while input.read(&mut [0; 4096]).is_ok_and(|read| read > 0) {}
-    let mut next = site.dial();
-    next.write_all(&request("pay", "2", 60_000)).unwrap();
-    let (mut server, came) = taken(&connections);
-    assert_eq!(came.header("x-txn"), "2");
-    server.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo").unwrap();
-    assert_eq!(Message::read(&mut BufReader::new(next)).unwrap().body, b"two");
+    next_is_served(&site, &connections);
 }
 
 // Where two copies may not be out together, the first is over for its server before the second begins.
