Node: descriptors are shared out at the start, by permits taken before a socket opens

Need: clients with long bodies half in held all of the servers' sockets: requests were refused, and an attempt for which the node had no socket counted as a server that could not be reached, which ejected healthy servers. Discovery and operators lived from an uncounted reserve, and a lower limit of the system's was not looked at.

Change: `descriptors.rs` shares out what limits.sockets says, or the system's own limit where that is lower, to clients, refusals, clients with servers, passing bodies, probes, watches and operators; each part takes its permit first. Fewer than can be shared out are refused by name at the start.

Unit tests of touched files have files of their own.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -24,6 +24,7 @@
 
 use crate::body::{discard, Fault, Kept, Payload, Reply, Upload, LONGEST_BODY};
 use crate::counts::{Counts, End};
+use crate::descriptors::Descriptors;
 use crate::driver::{Answer, Arrival, Msg};
 use crate::guest::{Guest, Socket, WHOLE_TIMEOUT};
 use crate::horizon::Horizon;
@@ -52,9 +53,11 @@
     names: Names,
     open_cap: usize,
     servers: Rc<Servers>,
-    /// Sockets of clients, of all, and of clients that are only told to go.
+    /// Sockets of clients, and of clients that are only told to go.
     budget: Rc<Budget>,
     overflow: Rc<Budget>,
+    /// Requests whose body passes as it comes.
+    uploads: Rc<Budget>,
     counts: Rc<Counts>,
     tx: mpsc::UnboundedSender<Msg>,
     next_id: Cell<u64>,
@@ -85,7 +88,7 @@
         names: Names,
         open_cap: usize,
         servers: Rc<Servers>,
-        budgets: (Rc<Budget>, Rc<Budget>),
+        descriptors: &Descriptors,
         counts: Rc<Counts>,
         tx: mpsc::UnboundedSender<Msg>,
     ) -> Rc<Self> {
@@ -94,8 +97,9 @@
             names,
             open_cap,
             servers,
-            budget: budgets.0,
-            overflow: budgets.1,
+            budget: descriptors.clients.clone(),
+            overflow: descriptors.overflow.clone(),
+            uploads: descriptors.uploads.clone(),
             counts,
             tx,
             next_id: Cell::new(1),
@@ -359,7 +363,9 @@
             Payload::Coming(upload) => (Some(upload.clone()), None),
             Payload::Whole(_) => (None, Some(self.horizon.deadline(patience))),
         };
-        if self.held.get() >= self.open_cap {
+        // One that passes as it comes keeps a server's socket for as long as its client likes.
+        let passing = upload.as_ref().map(|_| self.uploads.take());
+        if self.held.get() >= self.open_cap || matches!(passing, Some(None)) {
             self.counts.ended(class, End::Refused);
             upload.into_iter().for_each(|upload| drop(spawn_local(upload.discard())));
             return Ok(self.refusal(Some(OVERFULL)));
@@ -387,7 +393,7 @@
             call: Rc::new(Call { method: head.method, target, headers, body, client: presence.view() }),
             reply,
         };
-        let waiting = Waiting::new(self, id, class, upload.is_some(), presence);
+        let waiting = Waiting::new(self, id, class, passing.flatten(), presence);
         let answer = match self.tx.send(Msg::Request(Box::new(arrival))) {
             Ok(()) => self.answer(answer, &waiting, upload).await.map_err(fault)?,
             Err(_) => Answer::Refused(Some(OVERFULL)),
@@ -501,7 +507,8 @@
     clients: Rc<Clients>,
     id: u64,
     class: usize,
-    coming: Cell<bool>,
+    /// Its body is coming.
+    coming: RefCell<Option<Permit>>,
     /// It has had its ending, which is counted.
     ended: Cell<bool>,
     /// Lets attempts be written.
@@ -509,16 +516,16 @@
 }
 
 impl Waiting {
-    fn new(clients: &Rc<Clients>, id: u64, class: usize, coming: bool, presence: Presence) -> Self {
+    fn new(clients: &Rc<Clients>, id: u64, class: usize, coming: Option<Permit>, presence: Presence) -> Self {
         clients.held.set(clients.held.get() + 1);
-        clients.coming.set(clients.coming.get() + usize::from(coming));
+        clients.coming.set(clients.coming.get() + usize::from(coming.is_some()));
         let clients = clients.clone();
-        let (coming, ended) = (Cell::new(coming), Cell::new(false));
+        let (coming, ended) = (RefCell::new(coming), Cell::new(false));
         Waiting { clients, id, class, coming, ended, _presence: presence }
     }
 
     fn is_whole(&self) {
-        if self.coming.replace(false) {
+        if self.coming.take().is_some() {
             self.clients.coming.set(self.clients.coming.get() - 1);
         }
     }
--- /dev/null
+++ b/src/bin/woodgap/config/tests.rs
@@ -0,0 +1,26 @@
+//! The configuration as the platform writes it.
+
+use super::*;
+
+#[test]
+fn settings_are_read_as_the_simulator_writes_them() {
+    let text = r#"{"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 77}, "later": [],
+        "known": {"revision": 1, "complete": true, "members": [7]},
+        "settings": {"group-size": 3, "classes": [{"name": "pay", "aim": 5e5, "deadline": 1000000,
+            "semantics": "unsafe"}], "bounds": {"max-attempts": 5, "may-probe": true},
+            "report": {"fields": ["queue", "util"]}}}"#;
+    let env = HashMap::from([("BALANCER_LISTEN".to_owned(), "127.0.0.1:9".to_owned())]);
+    let config = Config::read(text, &env).unwrap();
+    assert_eq!((config.seed, config.sockets, config.listen.port()), (0xff, 77, 9));
+    assert_eq!((config.settings.group_size, config.settings.max_attempts), (3, 5));
+    assert_eq!((config.settings.classes[0].aim, config.names.class("pay")), (500_000, Some(0)));
+    assert!(config.settings.may_probe && config.known.entries.is_empty());
+    assert_eq!(config.figures.report, ["queue", "util"]);
+    assert!(config.operator.is_none(), "off where nobody names it");
+    let env = HashMap::from([("BALANCER_OPERATOR".to_owned(), "127.0.0.1:8".to_owned())]);
+    assert_eq!(Config::read(text, &env).unwrap().operator.unwrap().port(), 8);
+    let named = text.replace("\"later\": []", "\"operator\": \"127.0.0.1:7\"");
+    assert_eq!(Config::read(&named, &HashMap::new()).unwrap().operator.unwrap().port(), 7);
+    assert!(Config::read("{}", &HashMap::new()).is_err());
+}
--- a/src/bin/woodgap/discovery.rs
+++ b/src/bin/woodgap/discovery.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -16,7 +17,7 @@
 use woodgap::settings::server_state;
 use woodgap::ServerState;
 
-use crate::task::AbortOnDrop;
+use crate::task::{AbortOnDrop, Budget};
 
 /// A watch sends at least an empty line every 2 s: one silent for this long is broken. What it misses counts
 /// as told 6 s after it fell silent: by then a call that hangs has to be over too, and another one answered.
@@ -150,9 +151,15 @@
 }
 
 /// Watches from a revision on and hands on what comes until the watch ends; then says how. Its first item
-/// must have come within `patience`.
-pub async fn watch(addr: SocketAddr, revision: u64, patience: Duration, mut tell: impl FnMut(News)) {
-    let ended = follow(addr, revision, patience, &mut tell).await;
+/// must have come within `patience`. Its socket is one of `sockets`, which are there for watches alone.
+pub async fn watch(
+    addr: SocketAddr,
+    revision: u64,
+    patience: Duration,
+    sockets: Rc<Budget>,
+    mut tell: impl FnMut(News),
+) {
+    let ended = follow(addr, revision, patience, &sockets, &mut tell).await;
     let silent = ended.as_ref().is_err_and(|reason| reason.is::<Elapsed>());
     if let Err(reason) = ended {
         crate::log::line(format_args!(
@@ -169,14 +176,20 @@
     addr: SocketAddr,
     revision: u64,
     patience: Duration,
+    sockets: &Rc<Budget>,
     tell: &mut impl FnMut(News),
 ) -> Result<(), Fault> {
     // One span for all that comes before an item: a call that hangs hangs once, wherever it does.
     let mut by = Instant::now() + patience;
+    // The watch that this one replaces gives its own back when its task is next run.
+    let permit = timeout_at(by, sockets.wait()).await?;
     let stream = timeout_at(by, TcpStream::connect(addr)).await??;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let _connection = AbortOnDrop::spawn(async move { drop(connection.await) });
+    let _connection = AbortOnDrop::spawn(async move {
+        let _permit = permit;
+        drop(connection.await);
+    });
     let request = Request::get(format!("/api/targets?stream=1&index={revision}"))
         .header("host", addr.to_string())
         .body(Empty::<Bytes>::new())?;
@@ -222,53 +235,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn values_may_be_split_and_indented_anywhere() {
-        let texts = ["{\"a\":[{\"b\":1},\r\n\n  {\"}\": \"\\\"{\\\\\"}]\n}", "{\"b\":2}"];
-        let sent = format!("{}\r\n\n{}\n", texts[0], texts[1]);
-        for size in 1..sent.len() {
-            let (mut items, mut seen) = (Items::default(), Vec::new());
-            for part in sent.as_bytes().chunks(size) {
-                items.push(&Bytes::copy_from_slice(part));
-                while let Some(item) = items.next().unwrap() {
-                    seen.push(match item {
-                        Item::Beat => String::new(),
-                        Item::Value(text) => String::from_utf8(text.to_vec()).unwrap().trim().to_owned(),
-                    });
-                }
-            }
-            assert_eq!(seen, [texts[0], "", "", texts[1], ""], "in parts of {size}");
-        }
-        for odd in ["7\n", "}", "nonsense"] {
-            let mut items = Items::default();
-            items.push(&Bytes::from_static(odd.as_bytes()));
-            assert!(items.next().is_err(), "{odd}");
-        }
-    }
-
-    #[test]
-    fn an_entry_that_cannot_be_read_is_dropped_alone() {
-        let value = serde_json::json!({"revision": 3, "complete": true, "members": [
-            {"id": "s-1", "host_port": "127.0.0.1:1", "phase": "in_service"},
-            {"id": "s-2", "host_port": "nowhere", "phase": "in_service"},
-            {"id": "s-3", "host_port": "127.0.0.1:3", "phase": "asleep"},
-            7,
-            {"id": "s-4", "host_port": "127.0.0.1:4", "phase": "terminating", "up_since_ms": 9},
-        ]});
-        let list = List::from_value(&value).unwrap();
-        let ids: Vec<&str> = list.entries.iter().map(|e| e.id.as_str()).collect();
-        assert_eq!(ids, ["s-1", "s-4"]);
-        assert!(list.complete && list.revision == Some(3));
-    }
-
-    #[test]
-    fn server_numbers_do_not_collide() {
-        let number = server_number("s-1", &HashMap::new());
-        let taken = HashMap::from([(number, "s-2".to_owned())]);
-        assert_ne!(server_number("s-1", &taken), number);
-        assert_eq!(server_number("s-1", &HashMap::from([(number, "s-1".to_owned())])), number);
-    }
-}
+mod tests;
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -21,7 +21,7 @@
 use crate::discovery::{watch, List, News, AT_ONCE, IN_TURN};
 use crate::peers::Peers;
 use crate::servers::{Call, Ended, Servers, TIDY};
-use crate::task::AbortOnDrop;
+use crate::task::{AbortOnDrop, Budget};
 
 /// The module answers at the deadline it was given; what it has not answered this much later, the
 /// node answers, whatever the module does.
@@ -150,6 +150,8 @@
     peers: Option<Rc<Peers>>,
     counts: Rc<Counts>,
     discovery: SocketAddr,
+    /// Sockets for watches.
+    sockets: Rc<Budget>,
     mode: Discovery,
     max_attempts: usize,
     revision: u64,
@@ -180,6 +182,7 @@
         servers: Rc<Servers>,
         peers: Option<Rc<Peers>>,
         counts: Rc<Counts>,
+        sockets: Rc<Budget>,
         tx: mpsc::UnboundedSender<Msg>,
     ) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
@@ -193,6 +196,7 @@
             peers,
             counts,
             discovery: config.discovery,
+            sockets,
             mode: config.settings.discovery,
             max_attempts: config.settings.max_attempts as usize,
             revision: 0,
@@ -518,13 +522,14 @@
         }
         self.watch += 1;
         let (number, tx) = (self.watch, self.tx.clone());
-        let (addr, revision) = (self.discovery, self.revision);
+        let (addr, revision, sockets) = (self.discovery, self.revision, self.sockets.clone());
         let patience = match self.mode {
             Discovery::Push => AT_ONCE,
             Discovery::Ask => IN_TURN,
         };
         let task = AbortOnDrop::spawn(async move {
-            watch(addr, revision, patience, |news| drop(tx.send(Msg::News { watch: number, news }))).await;
+            let tell = |news| drop(tx.send(Msg::News { watch: number, news }));
+            watch(addr, revision, patience, sockets, tell).await;
         });
         self.watching = Watch::Open { _task: task };
     }
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -9,6 +9,7 @@
 mod clients;
 mod config;
 mod counts;
+mod descriptors;
 mod discovery;
 mod driver;
 mod guest;
@@ -36,19 +37,14 @@
 use clients::Clients;
 use config::Config;
 use counts::Counts;
+use descriptors::Descriptors;
 use driver::{Driver, Msg};
-use operator::{Operator, CALLERS};
+use operator::Operator;
 use peers::Peers;
 use servers::Servers;
-use task::Budget;
 
-/// Descriptors that are not sockets of clients or servers: the standard ones, the runtime's, the
-/// listener, discovery and the peers' socket, about ten, and some that the system has not closed yet.
-const RESERVE: usize = 24;
 /// The part of the memory limit that whole bodies may take.
 const KEPT_PART: usize = 6;
-/// Connections past the budget that are told so at a time.
-const OVERFLOW: usize = 32;
 
 async fn run(
     config: Config,
@@ -75,16 +71,22 @@
         None => None,
     };
     let (tx, rx) = mpsc::unbounded_channel();
-    // Clients use up to a third of the descriptors for their requests, and each of these needs a
-    // server's socket too. The rest is for peers that only connect, so that they keep no client out.
-    let operators = config.operator.map_or(0, |_| CALLERS + 1);
-    let all = config.sockets.saturating_sub(RESERVE + OVERFLOW + operators).max(2);
-    let places = all.saturating_sub(config.sockets / 3).max(1);
+    let allowed = descriptors::allowed().unwrap_or(config.sockets);
+    if allowed < config.sockets {
+        log::line(format_args!(
+            "limits.sockets is {}, the system allows {allowed} descriptors: these are shared out",
+            config.sockets
+        ));
+    }
+    let descriptors = Descriptors::share_out(config.sockets.min(allowed), config.operator.is_some())?;
     let counts = Counts::new(config.names.classes());
     // The rest is for the connections' own buffers, and for a process beside this one.
     let memory = Memory::new(config.memory / KEPT_PART);
-    let servers = Servers::new(config.figures.clone(), Budget::new(all), memory, counts.clone());
-    let mut driver = Driver::new(&config, servers.clone(), peers.clone(), counts.clone(), tx.clone());
+    let sockets = (descriptors.shared.clone(), descriptors.probes.clone());
+    let servers = Servers::new(config.figures.clone(), sockets, memory, counts.clone());
+    let watches = descriptors.watches.clone();
+    let mut driver =
+        Driver::new(&config, servers.clone(), peers.clone(), counts.clone(), watches, tx.clone());
     let bans = config.operator.map(|_| Bans::open(config.scratch.as_deref(), &config.name));
     driver.start(&config.known, bans);
     let clients = Clients::new(
@@ -92,14 +94,15 @@
         config.names,
         config.figures.open_cap,
         servers.clone(),
-        (Budget::new(places), Budget::new(OVERFLOW)),
+        &descriptors,
         counts.clone(),
         tx.clone(),
     );
     if let Some(addr) = config.operator {
         let listener = bind(addr).await?;
         log::line(format_args!("operators call at {}", listener.local_addr()?));
-        let operator = Operator::new(clients.clone(), servers, counts.clone(), tx.clone());
+        let sockets = descriptors.operators.clone();
+        let operator = Operator::new(clients.clone(), servers, counts.clone(), sockets, tx.clone());
         spawn_local(operator.accept(listener));
     }
     let news = tx.clone();
--- a/src/bin/woodgap/operator.rs
+++ b/src/bin/woodgap/operator.rs
@@ -21,7 +21,7 @@
 use crate::counts::{Counts, Gauges};
 use crate::driver::{Maintained, Msg};
 use crate::servers::Servers;
-use crate::task::AbortOnDrop;
+use crate::task::{AbortOnDrop, Budget};
 
 /// Callers at a time. One more takes the place of the one that has been there for longest.
 pub const CALLERS: usize = 8;
@@ -36,6 +36,8 @@
     clients: Rc<Clients>,
     servers: Rc<Servers>,
     counts: Rc<Counts>,
+    /// Callers' sockets, `CALLERS` of them.
+    sockets: Rc<Budget>,
     tx: mpsc::UnboundedSender<Msg>,
 }
 
@@ -44,9 +46,10 @@
         clients: Rc<Clients>,
         servers: Rc<Servers>,
         counts: Rc<Counts>,
+        sockets: Rc<Budget>,
         tx: mpsc::UnboundedSender<Msg>,
     ) -> Rc<Self> {
-        Rc::new(Operator { clients, servers, counts, tx })
+        Rc::new(Operator { clients, servers, counts, sockets, tx })
     }
 
     /// Answers callers for as long as the node lives.
@@ -62,16 +65,18 @@
                     continue;
                 }
             };
+            if calls.borrow().len() >= CALLERS {
+                calls.borrow_mut().remove(0);
+            }
+            // The oldest gives its own back when its task is next run.
+            let permit = self.sockets.wait().await;
             let (operator, ended) = (self.clone(), calls.clone());
             let call = AbortOnDrop::spawn(async move {
+                let _permit = permit;
                 let _ = timeout(STUCK, operator.serve(stream)).await;
                 ended.borrow_mut().retain(|(n, _)| *n != number);
             });
-            let mut calls = calls.borrow_mut();
-            if calls.len() >= CALLERS {
-                calls.remove(0);
-            }
-            calls.push((number, call));
+            calls.borrow_mut().push((number, call));
         }
     }
 
@@ -188,19 +193,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn values_of_a_query_are_decoded() {
-        assert_eq!(member("a=b&member=s-1").as_deref(), Some("s-1"));
-        for wrong in ["", "member", "member=", "Member=s-1", "member=s-1&member=s-1"] {
-            assert_eq!(member(wrong), None, "{wrong}");
-        }
-        assert_eq!(decoded("s-5be2a07c").as_deref(), Some("s-5be2a07c"));
-        assert_eq!(decoded("a%2Fb%c3%A9+c").as_deref(), Some("a/b\u{e9} c"));
-        for wrong in ["", "%", "%2", "%zz", "%ff", "%+1"] {
-            assert_eq!(decoded(wrong), None, "{wrong}");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/tests/node/descriptors.rs
@@ -0,0 +1,322 @@
+//! Clients that hold all the connections they can while discovery is down: what a node keeps for itself.
+
+use super::*;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// What discovery tells counts as told after this long, whoever holds the descriptors.
+const TOLD: Duration = Duration::from_secs(6);
+const SOCKETS: usize = 256;
+/// More than the node has places for.
+const CROWD: usize = 200;
+
+/// What a client of the crowd sends and then waits with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Sends {
+    Nothing,
+    /// Most of a short body, which the node keeps until it is whole.
+    HalfAShortBody,
+    /// A part of a long body, which goes on to a server as it comes, and a little more now and then.
+    HalfALongBody,
+}
+
+impl Sends {
+    fn first(self) -> Vec<u8> {
+        match self {
+            Sends::Nothing => Vec::new(),
+            Sends::HalfAShortBody => {
+                let whole = request("pay", "half", 60_000);
+                whole[..whole.len() - 2].to_vec()
+            }
+            Sends::HalfALongBody => {
+                let head = post("pay", "half", 60_000, "Content-Length: 20000000\r\n");
+                [head, vec![b'x'; 400_000]].concat()
+            }
+        }
+    }
+}
+
+/// Clients that connect again whenever they are turned out.
+struct Crowd {
+    ends: Arc<AtomicBool>,
+    clients: Option<thread::JoinHandle<()>>,
+}
+
+impl Crowd {
+    /// Those of `first` are connected already.
+    fn new(addr: SocketAddr, sends: Sends, first: Vec<TcpStream>) -> Crowd {
+        let ends = Arc::new(AtomicBool::new(false));
+        let ended = ends.clone();
+        let clients = thread::spawn(move || {
+            let mut places: Vec<Option<TcpStream>> = first.into_iter().map(Some).collect();
+            places.resize_with(CROWD, || None);
+            let text = sends.first();
+            let mut rest: Vec<usize> = vec![0; CROWD];
+            places.iter().flatten().for_each(|stream| stream.set_nonblocking(true).unwrap());
+            while !ended.load(Ordering::Relaxed) {
+                for (place, sent) in places.iter_mut().zip(&mut rest) {
+                    if let Some(stream) = place {
+                        let more = if *sent < text.len() { &text[*sent..] } else { &[] };
+                        match stream.write(more) {
+                            Ok(n) => *sent += n,
+                            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                            Err(_) => *place = None,
+                        }
+                    }
+                    if let Some(stream) = place {
+                        match stream.read(&mut [0; 1024]) {
+                            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => continue,
+                            _ => *place = None,
+                        }
+                    }
+                    *sent = 0;
+                    *place = TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok();
+                    place.iter().for_each(|stream| stream.set_nonblocking(true).unwrap());
+                }
+                thread::sleep(Duration::from_millis(20));
+            }
+        });
+        Crowd { ends, clients: Some(clients) }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.ends.store(true, Ordering::Relaxed);
+        let _ = self.clients.take().unwrap().join();
+    }
+}
+
+/// An address of discovery's at which nobody listens yet: calls to it are refused.
+struct Down(socket2::Socket);
+
+impl Down {
+    fn new() -> Down {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.set_reuse_address(true).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        Down(socket)
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.0.local_addr().unwrap().as_socket().unwrap()
+    }
+
+    fn opens(self) -> Receiver<TcpStream> {
+        self.0.listen(64).unwrap();
+        connections(TcpListener::from(self.0))
+    }
+}
+
+/// A node with few descriptors whose operators may call and which probes servers that it leaves alone.
+fn site(discovery: SocketAddr, mode: &str) -> Site {
+    Site::shaped(4, &[("BALANCER_OPERATOR", "127.0.0.1:0")], |config| {
+        config["limits"]["sockets"] = json!(SOCKETS);
+        config["discovery"] = json!(discovery.to_string());
+        config["settings"]["registry-mode"] = json!(mode);
+        config["settings"]["bounds"]["may-probe"] = json!(true);
+    })
+}
+
+/// A client that keeps its connection.
+struct Kept {
+    stream: TcpStream,
+    answers: BufReader<TcpStream>,
+    asked: u32,
+}
+
+impl Kept {
+    fn new(addr: SocketAddr) -> Kept {
+        let stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let answers = BufReader::new(stream.try_clone().unwrap());
+        Kept { stream, answers, asked: 0 }
+    }
+
+    /// Asks with a key of its own each time.
+    fn asks(&mut self) -> u16 {
+        self.asked += 1;
+        let text = String::from_utf8(request("pay", &format!("kept-{}", self.asked), 60_000)).unwrap();
+        let text = text.replace("key=7f3a", &format!("key={}", self.asked));
+        self.stream.write_all(text.as_bytes()).expect("the connection is kept");
+        Message::read(&mut self.answers).expect("an answer").status()
+    }
+
+    /// Whether many requests, all served, reach this server.
+    fn reaches(&mut self, site: &Site, server: usize) -> bool {
+        site.requests();
+        for _ in 0..16 {
+            assert_eq!(self.asks(), 200);
+        }
+        let of_ours = |m: &Message| m.header("x-txn").starts_with("kept-");
+        site.requests().iter().any(|(other, message)| *other == server && of_ours(message))
+    }
+}
+
+/// All that a node owes while the crowd is there: discovery is back with a drain, which holds in time; requests
+/// are served, probes go out, operators are answered.
+fn holds_out(site: &mut Site, kept: &mut Kept, back: impl FnOnce() -> Receiver<TcpStream>, what: &str) {
+    assert!(kept.reaches(site, 0), "{what}");
+    assert!(site.call("GET /status").status() == 200, "{what}");
+    let watches = back();
+    let start = Instant::now();
+    let mut watch = watches.recv_timeout(PATIENCE).expect("a watch");
+    Message::read(&mut BufReader::new(watch.try_clone().unwrap())).expect("a call");
+    watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    site.members[0]["phase"] = json!("terminating");
+    let list = json!({"revision": 42, "complete": false, "members": [site.members[0]]});
+    chunk(&mut watch, &format!("{list}\n"));
+    until("the draining server is left alone", || !kept.reaches(site, 0));
+    assert!(start.elapsed() < TOLD, "{what}: {:?}", start.elapsed());
+    // One that fails is left alone and probed until it is well again.
+    *site.does[1].lock().unwrap() = Does::Answer("500 Error");
+    let mut probed = false;
+    until("a probe goes out", || {
+        kept.asks();
+        probed |= site.requests().iter().any(|(n, m)| *n == 1 && m.first.starts_with("GET /-/healthy "));
+        probed
+    });
+    *site.does[1].lock().unwrap() = Does::Serve;
+    until("the server is back", || {
+        let _ = site.requests();
+        kept.asks();
+        site.requests().iter().any(|(n, m)| *n == 1 && m.header("x-txn").starts_with("kept-"))
+    });
+    for _ in 0..16 {
+        assert_eq!(kept.asks(), 200, "{what}");
+    }
+    assert_eq!(site.call("POST /maintenance/enter?member=s-2").status(), 200, "{what}");
+    assert_eq!(site.call("GET /status").status(), 200, "{what}");
+    assert!(descriptors(&site.node) <= SOCKETS, "{what}");
+    is_never_short(site, what);
+}
+
+fn is_never_short(site: &Site, what: &str) {
+    let short = site.log.lines().into_iter().find(|line| line.contains("os error 24"));
+    assert_eq!(short, None, "{what}: out of descriptors");
+}
+
+fn is_full(site: &Site) {
+    // Connections past the places are refused or turned out, and counted.
+    until("all places are taken", || descriptors(&site.node) > SOCKETS / 2);
+}
+
+#[test]
+fn filled_before_the_first_call() {
+    for (sends, mode) in [(Sends::Nothing, "push"), (Sends::HalfAShortBody, "ask")] {
+        let down = Down::new();
+        let mut site = site(down.addr(), mode);
+        // The crowd waits in the backlog before the process is there.
+        let _ = site.node.kill();
+        let _ = site.node.wait();
+        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        listener.listen(1024).unwrap();
+        let listener = TcpListener::from(listener);
+        let addr = listener.local_addr().unwrap();
+        let first: Vec<_> = (0..CROWD).map(|_| TcpStream::connect(addr).unwrap()).collect();
+        let env = [("BALANCER_OPERATOR", "127.0.0.1:0")];
+        (site.node, site.addr, site.operator, site.log) =
+            start_logged(site.file.path(), Some(&listener), &env);
+        drop(listener);
+        let _crowd = Crowd::new(addr, sends, first);
+        is_full(&site);
+        let mut kept = a_place(addr);
+        holds_out(&mut site, &mut kept, || down.opens(), &format!("{sends:?} {mode}"));
+    }
+}
+
+/// A connection that was let in among the crowd.
+fn a_place(addr: SocketAddr) -> Kept {
+    let start = Instant::now();
+    loop {
+        let mut kept = Kept::new(addr);
+        let whole = request("pay", "first", 60_000);
+        let answer = match kept.stream.write_all(&whole) {
+            Ok(()) => Message::read(&mut kept.answers),
+            Err(_) => None,
+        };
+        if answer.is_some_and(|answer| answer.status() == 200) {
+            return kept;
+        }
+        assert!(start.elapsed() < PATIENCE, "a client that asks is let in");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn filled_during_a_reopening() {
+    for mode in ["push", "ask"] {
+        let (addr, watches) = scripted();
+        let mut site = site(addr, mode);
+        let mut first = watches.recv_timeout(PATIENCE).unwrap();
+        Message::read(&mut BufReader::new(first.try_clone().unwrap())).expect("a call");
+        first.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        chunk(&mut first, "\n");
+        let mut kept = Kept::new(site.addr);
+        assert_eq!(kept.asks(), 200);
+        // The watch breaks, and what is opened in its place hangs: the crowd comes meanwhile.
+        drop(first);
+        let hangs = watches.recv_timeout(PATIENCE).expect("opened again");
+        let _crowd = Crowd::new(site.addr, Sends::Nothing, Vec::new());
+        is_full(&site);
+        drop(hangs);
+        holds_out(&mut site, &mut kept, || watches, mode);
+    }
+}
+
+#[test]
+fn filled_with_bodies_half_in() {
+    for sends in [Sends::HalfAShortBody, Sends::HalfALongBody] {
+        let down = Down::new();
+        let mut site = site(down.addr(), "push");
+        let mut kept = Kept::new(site.addr);
+        assert_eq!(kept.asks(), 200);
+        let _crowd = Crowd::new(site.addr, sends, Vec::new());
+        is_full(&site);
+        holds_out(&mut site, &mut kept, || down.opens(), &format!("{sends:?}"));
+    }
+}
+
+// A configuration may promise more than the system gives.
+#[test]
+fn the_system_s_own_limit_is_shared_out_where_it_is_lower() {
+    let mut site = site(Down::new().addr(), "push");
+    let _ = site.node.kill();
+    let _ = site.node.wait();
+    let env = [("BALANCER_OPERATOR", "127.0.0.1:0")];
+    (site.node, site.addr, site.operator, site.log) = start_within(120, site.file.path(), None, &env);
+    site.log.waits_for(&["limits.sockets is 256", "allows 120"]);
+    let mut kept = Kept::new(site.addr);
+    assert_eq!(kept.asks(), 200);
+    let _crowd = Crowd::new(site.addr, Sends::HalfAShortBody, Vec::new());
+    until("the crowd is there", || kept.asks() == 200 && descriptors(&site.node) > 50);
+    for _ in 0..50 {
+        assert_eq!(kept.asks(), 200);
+        assert_eq!(site.call("GET /status").status(), 200);
+    }
+    is_never_short(&site, "120 of 256");
+}
+
+#[test]
+fn too_few_descriptors_are_refused_by_name() {
+    let site = Site::new(1);
+    let mut config = site.config.clone();
+    config["limits"]["sockets"] = json!(20);
+    std::fs::write(site.file.path(), config.to_string()).unwrap();
+    let mut node = Command::new(env!("CARGO_BIN_EXE_woodgap"))
+        .env_clear()
+        .env("BALANCER_CONFIG", site.file.path())
+        .stdin(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let start = Instant::now();
+    while node.try_wait().unwrap().is_none() && start.elapsed() < PATIENCE {
+        thread::sleep(Duration::from_millis(5));
+    }
+    let _ = node.kill();
+    let output = node.wait_with_output().unwrap();
+    let told = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success() && told.lines().count() == 1, "{told}");
+    assert!(told.contains("limits.sockets: 20 descriptors") && told.contains("at least"), "{told}");
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -5,6 +5,7 @@
 
 mod bodies;
 mod clients;
+mod descriptors;
 mod discovery;
 mod leaving;
 mod links;
