Node: lists are read entry by entry, bounded by the memory limit, and refused by name

Need: a list of 18,000 servers with ids of 120 characters was refused at a fixed 4 MiB; each list was held as text, as a tree of values and as entries at once, and the configuration's text, its tree and the list it names for as long as the process lived. What was odd about a list or a configuration was hardly told, and the same line came twice a second.

Change: `list.rs` reads a list straight from its text, one entry's tree at a time. Each byte of an item gives its watch 0.5 us more, so that a long list can come whole on a busy machine. A list that is too long, damaged, another program's or without one entry that can be read is refused in one line with what and how much and the list that stands, told once while it stays the same, and asked for again after 2.5 s; of an entry that can't be read in a whole list, what was known of its server stands; lists of before the one that is held are told. A configuration is refused with its path, length and fault.

--- a/src/bin/woodgap/config.rs
+++ b/src/bin/woodgap/config.rs
@@ -12,7 +12,7 @@
 use woodgap::Settings;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::discovery::List;
+use crate::list::{Form, List};
 
 /// The file's form; unknown keys are ignored.
 #[derive(Deserialize)]
@@ -30,8 +30,7 @@
     #[serde(default)]
     peers: Vec<String>,
     peers_all: Option<String>,
-    #[serde(default)]
-    known: Value,
+    known: Option<Form>,
     #[serde(default)]
     settings: Value,
 }
@@ -66,8 +65,9 @@
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
-    /// The list as this node last had it.
+    /// The list as this node last had it, and what is wrong with it.
     pub known: List,
+    pub complaint: Option<String>,
     pub settings: Settings,
     pub names: Names,
     pub figures: Figures,
@@ -113,6 +113,12 @@
             open_cap: pairs.whole("bounds.open-cap", 20_000)?.clamp(1, 1 << 20) as usize,
             report: pairs.text("report.fields").unwrap_or("").split(',').map(str::to_owned).collect(),
         };
+        // Without it the node starts as well: discovery has the list.
+        let known = file.known.map_or(Ok(List::default()), |form| form.list(text.len()));
+        let complaint = match &known {
+            Ok(known) => known.complaint(),
+            Err(error) => Some(error.to_string()),
+        };
         Ok(Config {
             name: env.get("BALANCER_NAME").cloned().unwrap_or(file.name),
             listen: address("BALANCER_LISTEN", file.listen)?,
@@ -125,7 +131,8 @@
             peer_listen: file.peer_listen.as_ref().map(parse).transpose()?,
             peers: file.peers.iter().map(parse).collect::<Result<_, _>>()?,
             peers_all: file.peers_all.as_ref().map(parse).transpose()?,
-            known: List::from_value(&file.known).unwrap_or_default(),
+            known: known.unwrap_or_default(),
+            complaint,
             settings,
             names,
             figures,
@@ -135,6 +142,10 @@
     /// Discovery's address in a file that has replaced the first. The environment is not asked: its
     /// words are those of the start.
     pub fn read_discovery(text: &str) -> Result<SocketAddr, Box<dyn Error>> {
+        #[derive(Deserialize)]
+        struct File {
+            discovery: Option<String>,
+        }
         let file: File = serde_json::from_str(text)?;
         Ok(file.discovery.ok_or("the file names no discovery")?.parse()?)
     }
--- a/src/bin/woodgap/discovery.rs
+++ b/src/bin/woodgap/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: the list of servers and the watch on its changes.
 
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,13 +11,11 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::time::error::Elapsed;
 use tokio::time::{timeout_at, Instant};
-use woodgap::settings::server_state;
-use woodgap::ServerState;
 
+use crate::list::{List, Refused};
 use crate::task::{AbortOnDrop, Budget};
 
 /// A watch sends at least an empty line every 2 s: one silent for this long is broken. What it misses counts
@@ -27,30 +26,11 @@
 pub const AT_ONCE: Duration = Duration::from_millis(1_500);
 /// Where they are asked for, calls wait for their turn.
 pub const IN_TURN: Duration = Duration::from_millis(3_500);
-/// The longest list that is read, of some ten thousand servers.
-const LONGEST_VALUE: usize = 4 << 20;
-
-/// An entry of the list.
-#[derive(Clone, Debug)]
-pub struct Entry {
-    pub id: String,
-    pub addr: SocketAddr,
-    pub zone: String,
-    pub kind: String,
-    pub cell: u64,
-    pub state: ServerState,
-    pub size: f64,
-    /// Unix time in milliseconds; 0 is long ago.
-    pub up_since_ms: u64,
-}
-
-/// A list, whole or only what changed.
-#[derive(Clone, Debug, Default)]
-pub struct List {
-    pub revision: Option<u64>,
-    pub complete: bool,
-    pub entries: Vec<Entry>,
-}
+/// Each byte of an item gives its watch so much more time: a list of 18,000 with long ids has three seconds more, one
+/// of 200 a fiftieth of one.
+const PER_BYTE: Duration = Duration::from_nanos(500);
+/// A value from this length on takes its memory with it when it is taken out.
+const LARGE: usize = 64 << 10;
 
 /// What the watch brings.
 #[derive(Debug)]
@@ -59,36 +39,12 @@
     /// The call failed or the watch broke, or it was waited for in vain.
     Failed {
         silent: bool,
+        /// What came was refused: it will be no better at once.
+        refused: bool,
+        why: String,
     },
 }
 
-impl List {
-    /// Reads a list. An entry that can't be read is dropped, never the list: one odd entry must
-    /// not blind the node to all others.
-    pub fn from_value(value: &Value) -> Option<List> {
-        let members = value.get("members")?.as_array()?;
-        Some(List {
-            revision: value.get("revision").and_then(Value::as_u64),
-            complete: value.get("complete").and_then(Value::as_bool).unwrap_or(false),
-            entries: members.iter().filter_map(entry).collect(),
-        })
-    }
-}
-
-fn entry(value: &Value) -> Option<Entry> {
-    let text = |name: &str| value.get(name).and_then(Value::as_str);
-    Some(Entry {
-        id: text("id")?.to_owned(),
-        addr: text("host_port")?.parse().ok()?,
-        zone: text("locality").unwrap_or("").to_owned(),
-        kind: text("flavor").unwrap_or("").to_owned(),
-        cell: value.get("cell").and_then(Value::as_u64).unwrap_or(0),
-        state: server_state(text("phase")?)?,
-        size: value.get("size").and_then(Value::as_f64).unwrap_or(1.0),
-        up_since_ms: value.get("up_since_ms").and_then(Value::as_u64).unwrap_or(0),
-    })
-}
-
 /// What a watch sends.
 #[derive(Debug, PartialEq)]
 enum Item {
@@ -99,9 +55,10 @@
 }
 
 /// The values of a chunked answer; one may be split over chunks and lines anywhere.
-#[derive(Default)]
 struct Items {
     buffer: BytesMut,
+    /// The longest value that is taken.
+    most: usize,
     /// How far the buffer was looked at, and where in a value that is.
     seen: usize,
     depth: usize,
@@ -110,6 +67,10 @@
 }
 
 impl Items {
+    fn new(most: usize) -> Items {
+        Items { buffer: BytesMut::new(), most, seen: 0, depth: 0, quoted: false, escaped: false }
+    }
+
     fn push(&mut self, chunk: &Bytes) {
         self.buffer.extend_from_slice(chunk);
     }
@@ -136,38 +97,49 @@
                     return Ok(Some(Item::Beat));
                 }
                 _ if self.depth > 0 || byte.is_ascii_whitespace() => {}
-                _ => return Err("a line that is no list".into()),
+                _ => {
+                    let why = "it is no object";
+                    return Err(Refused::Foreign { bytes: self.buffer.len(), why }.into());
+                }
             }
         }
-        if self.buffer.len() > LONGEST_VALUE {
-            return Err("a list is too long".into());
+        if self.buffer.len() > self.most {
+            return Err(Refused::TooLong { most: self.most }.into());
         }
         Ok(None)
     }
 
     fn take(&mut self) -> BytesMut {
-        self.buffer.split_to(std::mem::take(&mut self.seen))
+        let end = std::mem::take(&mut self.seen);
+        if end < LARGE {
+            return self.buffer.split_to(end);
+        }
+        // Split off, the rest would keep all of the value's memory for as long as the watch lasts.
+        let rest = BytesMut::from(&self.buffer[end..]);
+        let mut value = std::mem::replace(&mut self.buffer, rest);
+        value.truncate(end);
+        value
     }
 }
 
 /// Watches from a revision on and hands on what comes until the watch ends; then says how. Its first item
-/// must have come within `patience`. Its socket is one of `sockets`, which are there for watches alone.
+/// must have come within `patience`, and none may be longer than `longest` bytes. Its socket is one of `sockets`, which are there for watches alone.
 pub async fn watch(
     addr: SocketAddr,
     revision: u64,
-    patience: Duration,
+    (patience, longest): (Duration, usize),
     sockets: Rc<Budget>,
     mut tell: impl FnMut(News),
 ) {
-    let ended = follow(addr, revision, patience, &sockets, &mut tell).await;
+    let ended = follow(addr, revision, (patience, longest), &sockets, &mut tell).await;
     let silent = ended.as_ref().is_err_and(|reason| reason.is::<Elapsed>());
-    if let Err(reason) = ended {
-        crate::log::line(format_args!(
-            "discovery: {reason}{}",
-            if silent { ": the watch is silent" } else { "" }
-        ));
-    }
-    tell(News::Failed { silent });
+    let refused = ended.as_ref().is_err_and(|reason| reason.is::<Refused>());
+    let why = match ended {
+        Err(reason) if silent => format!("{reason}: the watch is silent"),
+        Err(reason) => reason.to_string(),
+        Ok(never) => match never {},
+    };
+    tell(News::Failed { silent, refused, why });
 }
 
 type Fault = Box<dyn std::error::Error>;
@@ -175,10 +147,10 @@
 async fn follow(
     addr: SocketAddr,
     revision: u64,
-    patience: Duration,
+    (patience, longest): (Duration, usize),
     sockets: &Rc<Budget>,
     tell: &mut impl FnMut(News),
-) -> Result<(), Fault> {
+) -> Result<Infallible, Fault> {
     // One span for all that comes before an item: a call that hangs hangs once, wherever it does.
     let mut by = Instant::now() + patience;
     // The watch that this one replaces gives its own back when its task is next run.
@@ -198,11 +170,13 @@
         return Err(format!("watch answered {}", response.status()).into());
     }
     let mut body = response.into_body();
-    let mut items = Items::default();
+    let mut items = Items::new(longest);
     let mut first = true;
     loop {
         let Some(frame) = timeout_at(by, body.frame()).await? else { return Err("watch ended".into()) };
         let Ok(chunk) = frame?.into_data() else { continue };
+        // A long list takes its time; what only trickles gains none by this.
+        by += PER_BYTE * chunk.len() as u32;
         items.push(&chunk);
         while let Some(item) = items.next()? {
             // Bytes alone are no sign of life: a part of a list may be all that ever comes.
@@ -211,10 +185,7 @@
                 // Even where nothing changed, the module is owed an answer to its call.
                 Item::Beat if first => tell(News::List(List::default())),
                 Item::Beat => {}
-                Item::Value(text) => {
-                    let value: Value = serde_json::from_slice(&text)?;
-                    tell(News::List(List::from_value(&value).ok_or("a line that is no list")?));
-                }
+                Item::Value(text) => tell(News::List(List::read(&text)?)),
             }
             first = false;
         }
--- a/src/bin/woodgap/discovery/tests.rs
+++ b/src/bin/woodgap/discovery/tests.rs
@@ -7,7 +7,7 @@
     let texts = ["{\"a\":[{\"b\":1},\r\n\n  {\"}\": \"\\\"{\\\\\"}]\n}", "{\"b\":2}"];
     let sent = format!("{}\r\n\n{}\n", texts[0], texts[1]);
     for size in 1..sent.len() {
-        let (mut items, mut seen) = (Items::default(), Vec::new());
+        let (mut items, mut seen) = (Items::new(1 << 20), Vec::new());
         for part in sent.as_bytes().chunks(size) {
             items.push(&Bytes::copy_from_slice(part));
             while let Some(item) = items.next().unwrap() {
@@ -20,25 +20,24 @@
         assert_eq!(seen, [texts[0], "", "", texts[1], ""], "in parts of {size}");
     }
     for odd in ["7\n", "}", "nonsense"] {
-        let mut items = Items::default();
+        let mut items = Items::new(1 << 20);
         items.push(&Bytes::from_static(odd.as_bytes()));
         assert!(items.next().is_err(), "{odd}");
     }
 }
 
 #[test]
-fn an_entry_that_cannot_be_read_is_dropped_alone() {
-    let value = serde_json::json!({"revision": 3, "complete": true, "members": [
-        {"id": "s-1", "host_port": "127.0.0.1:1", "phase": "in_service"},
-        {"id": "s-2", "host_port": "nowhere", "phase": "in_service"},
-        {"id": "s-3", "host_port": "127.0.0.1:3", "phase": "asleep"},
-        7,
-        {"id": "s-4", "host_port": "127.0.0.1:4", "phase": "terminating", "up_since_ms": 9},
-    ]});
-    let list = List::from_value(&value).unwrap();
-    let ids: Vec<&str> = list.entries.iter().map(|e| e.id.as_str()).collect();
-    assert_eq!(ids, ["s-1", "s-4"]);
-    assert!(list.complete && list.revision == Some(3));
+fn a_value_that_is_too_long_is_refused_and_a_large_one_keeps_no_memory() {
+    let value = format!("{{\"a\": \"{}\"}}", "x".repeat(LARGE));
+    let mut items = Items::new(value.len());
+    items.push(&Bytes::from(value.clone() + "\n{\"b\""));
+    assert_eq!(items.next().unwrap(), Some(Item::Value(BytesMut::from(value.as_str()))));
+    assert_eq!(items.next().unwrap(), Some(Item::Beat));
+    assert!(items.next().unwrap().is_none() && items.buffer.capacity() < LARGE);
+    let mut items = Items::new(value.len() - 2);
+    items.push(&Bytes::from(value[..value.len() - 1].to_owned()));
+    let error = items.next().unwrap_err();
+    assert_eq!(error.downcast_ref(), Some(&Refused::TooLong { most: value.len() - 2 }));
 }
 
 #[test]
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -18,7 +18,8 @@
 use crate::bans::Bans;
 use crate::body::Reply;
 use crate::counts::{Counts, REPORT};
-use crate::discovery::{watch, List, News, AT_ONCE, IN_TURN};
+use crate::discovery::{watch, News, AT_ONCE, IN_TURN};
+use crate::list::{longest, List};
 use crate::peers::Peers;
 use crate::servers::{Call, Ended, Servers, TIDY};
 use crate::task::{AbortOnDrop, Budget};
@@ -28,6 +29,8 @@
 const OVERDUE: Duration = Duration::from_millis(5);
 /// Pause before a watch that the module does not ask for is opened again.
 const AGAIN: Duration = Duration::from_millis(500);
+/// And where what it brought was refused, which costs both sides a whole list each time.
+const AGAIN_AFTER_REFUSAL: Duration = Duration::from_millis(2_500);
 /// How often the file of servers left out is read: another process may have written it, and what it
 /// said yes to binds this one within the time of a drain.
 const FOLLOW: Duration = Duration::from_millis(100);
@@ -155,6 +158,10 @@
     mode: Discovery,
     max_attempts: usize,
     revision: u64,
+    /// The longest text of a list that is read.
+    longest_list: usize,
+    /// Why the last watch ended: logged once while it stays the same.
+    fault: String,
     /// The number of the present watch, and how it stands.
     watch: u64,
     watching: Watch,
@@ -200,6 +207,8 @@
             mode: config.settings.discovery,
             max_attempts: config.settings.max_attempts as usize,
             revision: 0,
+            longest_list: longest(config.memory),
+            fault: String::new(),
             watch: 0,
             watching: Watch::Ended,
             tx,
@@ -208,7 +217,7 @@
     }
 
     /// Starts the module with the list that the node last had and the servers that are left out.
-    pub fn start(&mut self, known: &List, bans: Option<Bans>) {
+    pub fn start(&mut self, known: List, bans: Option<Bans>) {
         if let Some(bans) = &bans {
             let out: Vec<_> = bans.ids().map(|id| (id.clone(), true)).collect();
             self.heed(out);
@@ -216,7 +225,8 @@
         }
         self.bans = bans;
         self.revision = known.revision.unwrap_or(0);
-        let (_, members) = self.servers.apply(known, false);
+        let (_, members) = self.servers.apply(&known, false);
+        drop(known);
         self.events.push_back(Event::Sync { kind: SyncKind::Cached, members });
         self.due.insert(Due::Tidy, TIDY);
         self.due.insert(Due::Report, REPORT);
@@ -397,20 +407,37 @@
     fn news(&mut self, news: News) {
         match news {
             News::List(list) => {
+                self.fault.clear();
                 let older = list.revision.is_some_and(|revision| revision < self.revision);
+                if let Some(revision) = list.revision.filter(|_| older) {
+                    crate::log::line(format_args!(
+                        "discovery: a list of revision {revision} is older than {}: it takes nothing back",
+                        self.revision
+                    ));
+                }
+                if let Some(complaint) = list.complaint() {
+                    crate::log::line(format_args!("discovery: a list: {complaint}"));
+                }
                 self.revision = list.revision.map_or(self.revision, |revision| revision.max(self.revision));
                 let (kind, members) = self.servers.apply(&list, older);
                 self.events.push_back(Event::Sync { kind, members });
             }
-            News::Failed { silent } => {
+            News::Failed { silent, refused, why } => {
                 self.watching = Watch::Ended;
+                if self.fault != why {
+                    let (listed, revision) = (self.servers.listed(), self.revision);
+                    let stands = format!("the list of {listed} servers at revision {revision} stands");
+                    crate::log::line(format_args!("discovery: {why}; {stands}"));
+                    self.fault = why;
+                }
+                let pause = if refused { AGAIN_AFTER_REFUSAL } else { AGAIN };
                 match self.mode {
                     Discovery::Ask => {
                         self.events.push_back(Event::Sync { kind: SyncKind::Failed, members: Vec::new() })
                     }
                     // It has been waited for already.
                     Discovery::Push if silent => self.subscribe(),
-                    Discovery::Push => self.watching = Watch::Pauses(self.due.insert(Due::Watch, AGAIN)),
+                    Discovery::Push => self.watching = Watch::Pauses(self.due.insert(Due::Watch, pause)),
                 }
             }
         }
@@ -527,9 +554,10 @@
             Discovery::Push => AT_ONCE,
             Discovery::Ask => IN_TURN,
         };
+        let longest = self.longest_list;
         let task = AbortOnDrop::spawn(async move {
             let tell = |news| drop(tx.send(Msg::News { watch: number, news }));
-            watch(addr, revision, patience, sockets, tell).await;
+            watch(addr, revision, (patience, longest), sockets, tell).await;
         });
         self.watching = Watch::Open { _task: task };
     }
--- /dev/null
+++ b/src/bin/woodgap/list/tests.rs
@@ -0,0 +1,51 @@
+//! Lists as they come: whole, odd in places, damaged, foreign.
+
+use super::*;
+use serde_json::json;
+
+#[test]
+fn an_entry_that_cannot_be_read_is_dropped_alone() {
+    let value = json!({"revision": 3, "complete": true, "later": [{"a": 1}], "members": [
+        {"id": "s-1", "host_port": "127.0.0.1:1", "phase": "in_service"},
+        {"id": "s-2", "host_port": "nowhere", "phase": "in_service"},
+        {"id": "s-3", "host_port": "127.0.0.1:3", "phase": "asleep"},
+        7,
+        {"id": "s-4", "host_port": "127.0.0.1:4", "phase": "terminating", "up_since_ms": 9, "size": "big"},
+    ]});
+    for text in [value.to_string(), serde_json::to_string_pretty(&value).unwrap()] {
+        let list = List::read(text.as_bytes()).unwrap();
+        let ids: Vec<&str> = list.entries.iter().map(|e| e.id.as_str()).collect();
+        assert_eq!(ids, ["s-1", "s-4"]);
+        assert!(list.complete && list.revision == Some(3));
+        assert_eq!((list.unread.count, list.unread.ids.join(" ")), (3, "s-2 s-3".to_owned()));
+        let told = list.complaint().unwrap();
+        assert!(told.contains("3 of 5 entries are dropped") && told.contains("host_port"), "{told}");
+    }
+}
+
+#[test]
+fn what_is_no_list_is_refused_by_name() {
+    for (text, told) in [
+        ("{\"members\": [", "damaged"),
+        ("{\"members\": [{]}", "damaged"),
+        ("7", "no object"),
+        ("[41, true, []]", "no object"),
+        ("{}", "no array 'members'"),
+        ("{\"members\": {\"s-1\": {}}}", "no array 'members'"),
+        ("{\"members\": \"s-1\"}", "no array 'members'"),
+        ("{\"complete\": true, \"members\": [1, {}]}", "none of its 2 entries"),
+    ] {
+        let error = List::read(text.as_bytes()).unwrap_err();
+        assert!(error.to_string().contains(told), "{text}: {error}");
+    }
+    assert!(
+        List::read(b"{\"complete\": true, \"members\": []}").unwrap().entries.is_empty(),
+        "none is a list"
+    );
+}
+
+#[test]
+fn a_revision_that_is_no_number_is_none() {
+    let list = List::read(b"{\"revision\": \"x\", \"complete\": 1, \"members\": []}").unwrap();
+    assert!(list.revision.is_none() && !list.complete && list.complaint().is_none());
+}
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -15,6 +15,7 @@
 mod guest;
 mod horizon;
 mod inherit;
+mod list;
 mod log;
 mod operator;
 mod peers;
@@ -23,6 +24,7 @@
 mod stream;
 mod task;
 
+use std::collections::HashMap;
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -43,6 +45,9 @@
 use peers::Peers;
 use servers::Servers;
 
+/// The longest configuration, read before the memory limit is known that it names: a third of what a node has that
+/// is told none.
+const LONGEST_CONFIG: u64 = 64 << 20;
 /// The part of the memory limit that whole bodies may take.
 const KEPT_PART: usize = 6;
 
@@ -88,7 +93,10 @@
     let mut driver =
         Driver::new(&config, servers.clone(), peers.clone(), counts.clone(), watches, tx.clone());
     let bans = config.operator.map(|_| Bans::open(config.scratch.as_deref(), &config.name));
-    driver.start(&config.known, bans);
+    if let Some(complaint) = &config.complaint {
+        log::line(format_args!("the configuration's list: {complaint}"));
+    }
+    driver.start(config.known, bans);
     let clients = Clients::new(
         config.settings,
         config.names,
@@ -148,19 +156,39 @@
 
 /// Discovery's address, read again from the configuration.
 fn new_discovery(path: &Path) -> Result<std::net::SocketAddr, Box<dyn Error>> {
-    Config::read_discovery(&std::fs::read_to_string(path)?)
+    let text = read(path)?;
+    Config::read_discovery(&text).map_err(|error| odd(path, text.len(), &*error).into())
+}
+
+/// The configuration's text.
+fn read(path: &Path) -> Result<String, String> {
+    let told = |error: std::io::Error| format!("{}: {error}", path.display());
+    let bytes = std::fs::metadata(path).map_err(told)?.len();
+    if bytes > LONGEST_CONFIG {
+        return Err(format!("{}: {bytes} bytes are too many, {LONGEST_CONFIG} are the most", path.display()));
+    }
+    std::fs::read_to_string(path).map_err(told)
+}
+
+/// What is wrong with it.
+fn odd(path: &Path, bytes: usize, error: &dyn Error) -> String {
+    format!("{} of {bytes} bytes: {error}", path.display())
+}
+
+/// Reads the configuration; its text is not held any longer.
+fn configured(path: &Path, env: &HashMap<String, String>) -> Result<Config, String> {
+    let text = read(path)?;
+    Config::read(&text, env).map_err(|error| odd(path, text.len(), &*error))
 }
 
 fn start() -> Result<(), Box<dyn Error>> {
-    let env: std::collections::HashMap<String, String> = std::env::vars_os()
+    let env: HashMap<String, String> = std::env::vars_os()
         .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)))
         .collect();
     let inherited = env.get("BALANCER_FD").map(|fd| inherit::listener(fd)).transpose();
     let inherited = inherited.map_err(|error| format!("BALANCER_FD: {error}"))?;
-    let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-    let path = PathBuf::from(path);
-    let config = Config::read(&text, &env)?;
+    let path = PathBuf::from(env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?);
+    let config = configured(&path, &env)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(run(config, path, inherited)))
 }
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -21,7 +21,8 @@
 use crate::body::{gather, Gathered, Kept, Memory, Outgoing, Payload, Reply};
 use crate::config::Figures;
 use crate::counts::{Counts, End};
-use crate::discovery::{server_number, List};
+use crate::discovery::server_number;
+use crate::list::List;
 use crate::presence::Client;
 use crate::stream::{Progress, Stream};
 use crate::task::{AbortOnDrop, Budget, Permit};
@@ -81,6 +82,8 @@
 }
 
 struct Entry {
+    /// As the module was last told.
+    member: Member,
     state: ServerState,
     addr: SocketAddr,
     since_ms: u64,
@@ -182,7 +185,7 @@
             if older && overtaken {
                 continue;
             }
-            members.push(Member {
+            let member = Member {
                 server,
                 zone: places.zone(&entry.zone),
                 kind: places.kind(&entry.kind),
@@ -190,7 +193,8 @@
                 state: entry.state,
                 size: entry.size,
                 since: entry.up_since_ms.saturating_mul(1000),
-            });
+            };
+            members.push(member.clone());
             if ever.len() < EVER {
                 ever.insert(hash);
             }
@@ -203,6 +207,7 @@
             }
             names.insert(number, entry.id.clone());
             let known = entries.entry(server).or_insert_with(|| Entry {
+                member: member.clone(),
                 state: entry.state,
                 addr: entry.addr,
                 since_ms: entry.up_since_ms,
@@ -217,10 +222,15 @@
                 known.epoch = self.next_epoch();
                 known.idle.clear();
             }
-            known.state = entry.state;
+            (known.state, known.member) = (entry.state, member);
             known.bar(out.contains(&server));
         }
         if list.complete && !older {
+            // Of an entry that can't be read, what was known stands.
+            for id in &list.unread.ids {
+                let known = entries.get(&ServerId(server_number(id, &names)));
+                members.extend(known.map(|known| known.member.clone()));
+            }
             let listed: HashSet<ServerId> = members.iter().map(|m| m.server).collect();
             entries.retain(|server, _| listed.contains(server));
             let kept = |server| listed.contains(&server) || out.contains(&server);
--- a/src/bin/woodgap/servers/tests.rs
+++ b/src/bin/woodgap/servers/tests.rs
@@ -1,7 +1,7 @@
 //! Connections to servers, attempts and what the list does to both.
 
 use super::*;
-use crate::discovery::Entry as Listed;
+use crate::list::Entry as Listed;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::{spawn_local, LocalSet};
@@ -20,7 +20,7 @@
 fn list(addr: SocketAddr, state: ServerState, complete: bool) -> List {
     let (id, zone, kind) = ("s-1".into(), "a".into(), "m1".into());
     let entry = Listed { id, addr, zone, kind, cell: 0, state, size: 1.0, up_since_ms: 0 };
-    List { revision: None, complete, entries: vec![entry] }
+    List { complete, entries: vec![entry], ..List::default() }
 }
 
 fn call() -> Call {
@@ -232,3 +232,23 @@
     assert_eq!(outcome(StatusCode::INTERNAL_SERVER_ERROR, &headers), Outcome::Error);
     assert_eq!(outcome(StatusCode::OK, &headers), Outcome::Ok);
 }
+
+// One odd entry takes no server that is known off a whole list; one that is not named goes.
+#[test]
+fn what_is_known_of_an_entry_that_cannot_be_read_stands() {
+    let servers = servers(8);
+    let known =
+        |id: &str| format!("{{\"id\": \"{id}\", \"host_port\": \"127.0.0.1:1\", \"phase\": \"in_service\"}}");
+    let odd = |id: &str| known(id).replace("in_service", "asleep");
+    let list = |entries: &[String]| {
+        let text = format!("{{\"complete\": true, \"members\": [{}]}}", entries.join(", "));
+        servers.apply(&List::read(text.as_bytes()).unwrap(), false)
+    };
+    let (_, before) = list(&[known("s-1"), known("s-2"), known("s-3")]);
+    let (kind, after) = list(&[known("s-1"), odd("s-2"), odd("s-9")]);
+    assert_eq!(kind, SyncKind::Full);
+    let numbers = |members: &[Member]| members.iter().map(|m| m.server).collect::<Vec<_>>();
+    assert_eq!(numbers(&after), numbers(&before)[..2]);
+    assert_eq!(after[1].state, ServerState::InService);
+    assert_eq!(servers.listed(), 2);
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod leaving;
 mod links;
+mod lists;
 mod operators;
 mod requests;
 mod restart;
