--- a/src/bin/woodgap/discovery.rs
+++ b/src/bin/woodgap/discovery.rs
@@ -1,7 +1,9 @@
 //! Discovery: the list of servers and the watch on its changes.
 
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -9,14 +11,12 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::time::error::Elapsed;
 use tokio::time::{timeout_at, Instant};
-use woodgap::settings::server_state;
-use woodgap::ServerState;
 
-use crate::task::AbortOnDrop;
+use crate::list::{List, Refused};
+use crate::task::{AbortOnDrop, Budget};
 
 /// A watch sends at least an empty line every 2 s: one silent for this long is broken. What it misses counts
 /// as told 6 s after it fell silent: by then a call that hangs has to be over too, and another one answered.
@@ -26,30 +26,11 @@
 pub const AT_ONCE: Duration = Duration::from_millis(1_500);
 /// Where they are asked for, calls wait for their turn.
 pub const IN_TURN: Duration = Duration::from_millis(3_500);
-/// The longest list that is read, of some ten thousand servers.
-const LONGEST_VALUE: usize = 4 << 20;
-
-/// An entry of the list.
-#[derive(Clone, Debug)]
-pub struct Entry {
-    pub id: String,
-    pub addr: SocketAddr,
-    pub zone: String,
-    pub kind: String,
-    pub cell: u64,
-    pub state: ServerState,
-    pub size: f64,
-    /// Unix time in milliseconds; 0 is long ago.
-    pub up_since_ms: u64,
-}
-
-/// A list, whole or only what changed.
-#[derive(Clone, Debug, Default)]
-pub struct List {
-    pub revision: Option<u64>,
-    pub complete: bool,
-    pub entries: Vec<Entry>,
-}
+/// Each byte of an item gives its watch so much more time: a list of 18,000 with long ids has three seconds more, one
+/// of 200 a fiftieth of one.
+const PER_BYTE: Duration = Duration::from_nanos(500);
+/// A value from this length on takes its memory with it when it is taken out.
+const LARGE: usize = 64 << 10;
 
 /// What the watch brings.
 #[derive(Debug)]
@@ -58,36 +39,12 @@
     /// The call failed or the watch broke, or it was waited for in vain.
     Failed {
         silent: bool,
+        /// What came was refused: it will be no better at once.
+        refused: bool,
+        why: String,
     },
 }
 
-impl List {
-    /// Reads a list. An entry that can't be read is dropped, never the list: one odd entry must
-    /// not blind the node to all others.
-    pub fn from_value(value: &Value) -> Option<List> {
-        let members = value.get("members")?.as_array()?;
-        Some(List {
-            revision: value.get("revision").and_then(Value::as_u64),
-            complete: value.get("complete").and_then(Value::as_bool).unwrap_or(false),
-            entries: members.iter().filter_map(entry).collect(),
-        })
-    }
-}
-
-fn entry(value: &Value) -> Option<Entry> {
-    let text = |name: &str| value.get(name).and_then(Value::as_str);
-    Some(Entry {
-        id: text("id")?.to_owned(),
-        addr: text("host_port")?.parse().ok()?,
-        zone: text("locality").unwrap_or("").to_owned(),
-        kind: text("flavor").unwrap_or("").to_owned(),
-        cell: value.get("cell").and_then(Value::as_u64).unwrap_or(0),
-        state: server_state(text("phase")?)?,
-        size: value.get("size").and_then(Value::as_f64).unwrap_or(1.0),
-        up_since_ms: value.get("up_since_ms").and_then(Value::as_u64).unwrap_or(0),
-    })
-}
-
 /// What a watch sends.
 #[derive(Debug, PartialEq)]
 enum Item {
@@ -98,9 +55,10 @@
 }
 
 /// The values of a chunked answer; one may be split over chunks and lines anywhere.
-#[derive(Default)]
 struct Items {
     buffer: BytesMut,
+    /// The longest value that is taken.
+    most: usize,
     /// How far the buffer was looked at, and where in a value that is.
     seen: usize,
     depth: usize,
@@ -109,6 +67,10 @@
 }
 
 impl Items {
+    fn new(most: usize) -> Items {
+        Items { buffer: BytesMut::new(), most, seen: 0, depth: 0, quoted: false, escaped: false }
+    }
+
     fn push(&mut self, chunk: &Bytes) {
         self.buffer.extend_from_slice(chunk);
     }
@@ -135,32 +97,49 @@
                     return Ok(Some(Item::Beat));
                 }
                 _ if self.depth > 0 || byte.is_ascii_whitespace() => {}
-                _ => return Err("a line that is no list".into()),
+                _ => {
+                    let why = "it is no object";
+                    return Err(Refused::Foreign { bytes: self.buffer.len(), why }.into());
+                }
             }
         }
-        if self.buffer.len() > LONGEST_VALUE {
-            return Err("a list is too long".into());
+        if self.buffer.len() > self.most {
+            return Err(Refused::TooLong { most: self.most }.into());
         }
         Ok(None)
     }
 
     fn take(&mut self) -> BytesMut {
-        self.buffer.split_to(std::mem::take(&mut self.seen))
+        let end = std::mem::take(&mut self.seen);
+        if end < LARGE {
+            return self.buffer.split_to(end);
+        }
+        // Split off, the rest would keep all of the value's memory for as long as the watch lasts.
+        let rest = BytesMut::from(&self.buffer[end..]);
+        let mut value = std::mem::replace(&mut self.buffer, rest);
+        value.truncate(end);
+        value
     }
 }
 
 /// Watches from a revision on and hands on what comes until the watch ends; then says how. Its first item
-/// must have come within `patience`.
-pub async fn watch(addr: SocketAddr, revision: u64, patience: Duration, mut tell: impl FnMut(News)) {
-    let ended = follow(addr, revision, patience, &mut tell).await;
+/// must have come within `patience`, and none may be longer than `longest` bytes. Its socket is one of `sockets`, which are there for watches alone.
+pub async fn watch(
+    addr: SocketAddr,
+    revision: u64,
+    (patience, longest): (Duration, usize),
+    sockets: Rc<Budget>,
+    mut tell: impl FnMut(News),
+) {
+    let ended = follow(addr, revision, (patience, longest), &sockets, &mut tell).await;
     let silent = ended.as_ref().is_err_and(|reason| reason.is::<Elapsed>());
-    if let Err(reason) = ended {
-        crate::log::line(format_args!(
-            "discovery: {reason}{}",
-            if silent { ": the watch is silent" } else { "" }
-        ));
-    }
-    tell(News::Failed { silent });
+    let refused = ended.as_ref().is_err_and(|reason| reason.is::<Refused>());
+    let why = match ended {
+        Err(reason) if silent => format!("{reason}: the watch is silent"),
+        Err(reason) => reason.to_string(),
+        Ok(never) => match never {},
+    };
+    tell(News::Failed { silent, refused, why });
 }
 
 type Fault = Box<dyn std::error::Error>;
@@ -168,15 +147,21 @@
 async fn follow(
     addr: SocketAddr,
     revision: u64,
-    patience: Duration,
+    (patience, longest): (Duration, usize),
+    sockets: &Rc<Budget>,
     tell: &mut impl FnMut(News),
-) -> Result<(), Fault> {
+) -> Result<Infallible, Fault> {
     // One span for all that comes before an item: a call that hangs hangs once, wherever it does.
     let mut by = Instant::now() + patience;
+    // The watch that this one replaces gives its own back when its task is next run.
+    let permit = timeout_at(by, sockets.wait()).await?;
     let stream = timeout_at(by, TcpStream::connect(addr)).await??;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let _connection = AbortOnDrop::spawn(async move { drop(connection.await) });
+    let _connection = AbortOnDrop::spawn(async move {
+        let _permit = permit;
+        drop(connection.await);
+    });
     let request = Request::get(format!("/api/targets?stream=1&index={revision}"))
         .header("host", addr.to_string())
         .body(Empty::<Bytes>::new())?;
@@ -185,11 +170,13 @@
         return Err(format!("watch answered {}", response.status()).into());
     }
     let mut body = response.into_body();
-    let mut items = Items::default();
+    let mut items = Items::new(longest);
     let mut first = true;
     loop {
         let Some(frame) = timeout_at(by, body.frame()).await? else { return Err("watch ended".into()) };
         let Ok(chunk) = frame?.into_data() else { continue };
+        // A long list takes its time; what only trickles gains none by this.
+        by += PER_BYTE * chunk.len() as u32;
         items.push(&chunk);
         while let Some(item) = items.next()? {
             // Bytes alone are no sign of life: a part of a list may be all that ever comes.
@@ -198,10 +185,7 @@
                 // Even where nothing changed, the module is owed an answer to its call.
                 Item::Beat if first => tell(News::List(List::default())),
                 Item::Beat => {}
-                Item::Value(text) => {
-                    let value: Value = serde_json::from_slice(&text)?;
-                    tell(News::List(List::from_value(&value).ok_or("a line that is no list")?));
-                }
+                Item::Value(text) => tell(News::List(List::read(&text)?)),
             }
             first = false;
         }
@@ -222,53 +206,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn values_may_be_split_and_indented_anywhere() {
-        let texts = ["{\"a\":[{\"b\":1},\r\n\n  {\"}\": \"\\\"{\\\\\"}]\n}", "{\"b\":2}"];
-        let sent = format!("{}\r\n\n{}\n", texts[0], texts[1]);
-        for size in 1..sent.len() {
-            let (mut items, mut seen) = (Items::default(), Vec::new());
-            for part in sent.as_bytes().chunks(size) {
-                items.push(&Bytes::copy_from_slice(part));
-                while let Some(item) = items.next().unwrap() {
-                    seen.push(match item {
-                        Item::Beat => String::new(),
-                        Item::Value(text) => String::from_utf8(text.to_vec()).unwrap().trim().to_owned(),
-                    });
-                }
-            }
-            assert_eq!(seen, [texts[0], "", "", texts[1], ""], "in parts of {size}");
-        }
-        for odd in ["7\n", "}", "nonsense"] {
-            let mut items = Items::default();
-            items.push(&Bytes::from_static(odd.as_bytes()));
-            assert!(items.next().is_err(), "{odd}");
-        }
-    }
-
-    #[test]
-    fn an_entry_that_cannot_be_read_is_dropped_alone() {
-        let value = serde_json::json!({"revision": 3, "complete": true, "members": [
-            {"id": "s-1", "host_port": "127.0.0.1:1", "phase": "in_service"},
-            {"id": "s-2", "host_port": "nowhere", "phase": "in_service"},
-            {"id": "s-3", "host_port": "127.0.0.1:3", "phase": "asleep"},
-            7,
-            {"id": "s-4", "host_port": "127.0.0.1:4", "phase": "terminating", "up_since_ms": 9},
-        ]});
-        let list = List::from_value(&value).unwrap();
-        let ids: Vec<&str> = list.entries.iter().map(|e| e.id.as_str()).collect();
-        assert_eq!(ids, ["s-1", "s-4"]);
-        assert!(list.complete && list.revision == Some(3));
-    }
-
-    #[test]
-    fn server_numbers_do_not_collide() {
-        let number = server_number("s-1", &HashMap::new());
-        let taken = HashMap::from([(number, "s-2".to_owned())]);
-        assert_ne!(server_number("s-1", &taken), number);
-        assert_eq!(server_number("s-1", &HashMap::from([(number, "s-1".to_owned())])), number);
-    }
-}
+mod tests;
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -5,9 +5,11 @@
 
 mod bodies;
 mod clients;
+mod descriptors;
 mod discovery;
 mod leaving;
 mod links;
+mod lists;
 mod operators;
 mod requests;
 mod restart;
