Lab: nodes may ask for the list, and discovery may hang, reset or answer 503

Need: the referee's bound (what discovery has counts as told 6 s later) was played only where lists are pushed and after a silence that ends by answering what was called meanwhile: no failed, hung or given-up call came before a drain, and in virtual time there were no calls at all. Change: a scenario says `discovery.mode`; three kinds of trouble beside `discovery-away`; in virtual time calls to discovery are played (lab/src/sim/run/calls.rs) and the 6 s bind there too. Also: the inline tests of the files touched have files of their own, and [discovery] has its own file.

--- a/lab/src/bin/broken-node.rs
+++ b/lab/src/bin/broken-node.rs
@@ -17,6 +17,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
 
+/// How long it waits for discovery.
+const CALL: Duration = Duration::from_secs(1);
+
 type Answer = Response<Full<Bytes>>;
 
 struct Node {
@@ -47,7 +50,12 @@
     async fn learn(&self) {
         loop {
             let request = Request::get("/api/targets").header("host", "d").body(Full::default());
-            let list = send(&self.discovery, request.expect("a request")).await;
+            let call = send(&self.discovery, request.expect("a request"));
+            let list = tokio::time::timeout(CALL, call).await.ok().flatten();
+            if self.fault == "deaf" && list.as_ref().is_none_or(|(status, _)| *status != 200) {
+                // It has failed once, and is never called again.
+                return std::future::pending().await;
+            }
             let list = list.and_then(|(_, body)| serde_json::from_slice::<Value>(&body).ok());
             for member in list.iter().flat_map(|list| list["members"].as_array()).flatten() {
                 let text = |key: &str| member[key].as_str().unwrap_or("").to_owned();
--- a/lab/src/host/config.rs
+++ b/lab/src/host/config.rs
@@ -61,7 +61,7 @@
         "group-size": told.group_size, "me": node, "family": "proxy", "granularity": 5_000,
         "classes": classes, "tenants": [], "tier": 0, "tiers": ["points-api"],
         "zones": fleet.zones, "locality": fleet.zones[node % fleet.zones.len()], "kinds": kinds,
-        "registry-mode": "push", "weight-source": "rough", "worth-by": "work",
+        "registry-mode": scenario.discovery.mode.word(), "weight-source": "rough", "worth-by": "work",
         "over-share-worth": told.over_share_worth,
         "domain": {"warm-keys": told.warm_keys},
         "clients": {"marks-retry": false},
--- a/lab/src/host/discovery.rs
+++ b/lab/src/host/discovery.rs
@@ -20,6 +20,7 @@
 use super::http::{Filled, Lines};
 use super::servers::Servers;
 use super::stage::Stage;
+use crate::scenario::Outage;
 use crate::world::registry::unix_ms;
 use crate::world::{Entry, NodeId};
 
@@ -39,6 +40,13 @@
     doors: Mutex<Vec<(SocketAddr, watch::Sender<bool>)>>,
 }
 
+/// Resolves when discovery resets its connections.
+async fn resets(outage: &mut watch::Receiver<Option<Outage>>) {
+    if outage.wait_for(|outage| *outage == Some(Outage::Resets)).await.is_err() {
+        std::future::pending().await
+    }
+}
+
 impl Agents {
     /// Opens an agent for each node.
     pub fn open(stage: Arc<Stage>, servers: Arc<Servers>, nodes: usize) -> std::io::Result<Arc<Agents>> {
@@ -81,17 +89,21 @@
             };
             let Ok((stream, _)) = taken else { continue };
             let _ = stream.set_nodelay(true);
+            let mut outage = self.stage.outage();
             let (agents, mut close) = (self.clone(), close.clone());
             tokio::spawn(async move {
                 let service = service_fn(move |request| {
                     let agents = agents.clone();
                     async move { Ok::<_, Infallible>(agents.answer(node, request).await) }
                 });
-                let connection = hyper::server::conn::http1::Builder::new()
+                let mut connection = hyper::server::conn::http1::Builder::new()
                     .serve_connection(TokioIo::new(stream), service);
                 tokio::select! {
-                    _ = connection => {}
+                    _ = &mut connection => {}
                     _ = close.changed() => tokio::time::sleep(OLD_ENDS).await,
+                    () = resets(&mut outage) => {
+                        let _ = connection.into_parts().io.into_inner().set_zero_linger();
+                    }
                 }
             });
         }
@@ -107,8 +119,17 @@
             *answer.status_mut() = StatusCode::NOT_FOUND;
             return answer;
         }
-        while self.stage.world(|world, _, _| world.registry().is_away()) {
-            tokio::time::sleep(AWAY).await;
+        loop {
+            match self.stage.world(|world, _, _| world.registry().outage()) {
+                None => break,
+                Some(Outage::Silent) => tokio::time::sleep(AWAY).await,
+                // To the end of the connection.
+                Some(Outage::Hangs | Outage::Resets) => std::future::pending().await,
+                Some(Outage::Errors) => {
+                    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                    return answer;
+                }
+            }
         }
         let field = |name: &str| {
             let fields = request.uri().query()?.split('&').filter_map(|field| field.split_once('='));
@@ -133,7 +154,13 @@
             let told = news.notified();
             tokio::pin!(told);
             told.as_mut().enable();
-            let (away, changes) = self.changes(node, &mut revision);
+            let (outage, changes) = self.changes(node, &mut revision);
+            match outage {
+                None | Some(Outage::Silent) => {}
+                Some(Outage::Hangs | Outage::Resets) => return tx.closed().await,
+                Some(Outage::Errors) => return,
+            }
+            let away = outage.is_some();
             let line = changes.map_or("\n".to_owned(), |changes| format!("{changes}\n"));
             // While discovery is away its agents say nothing at all.
             if !away && tx.send(line.into()).await.is_err() {
@@ -147,20 +174,20 @@
         }
     }
 
-    /// Whether discovery is away, and else what changed after a revision, which moves on. Both are of
-    /// one look: what is taken while it is away would never be said.
-    fn changes(&self, node: NodeId, revision: &mut u64) -> (bool, Option<Value>) {
-        let (away, newest, changed) = self.stage.world(|world, _, _| {
+    /// How discovery is out of reach, if it is, and else what changed after a revision, which moves on. Both
+    /// are of one look: what is taken while it is away would never be said.
+    fn changes(&self, node: NodeId, revision: &mut u64) -> (Option<Outage>, Option<Value>) {
+        let (outage, newest, changed) = self.stage.world(|world, _, _| {
             let registry = world.registry();
-            (registry.is_away(), registry.revision(node), registry.since(node, *revision))
+            (registry.outage(), registry.revision(node), registry.since(node, *revision))
         });
-        if away || newest == *revision {
-            return (away, None);
+        if outage.is_some() || newest == *revision {
+            return (outage, None);
         }
         *revision = newest;
-        let Some(changed) = changed else { return (away, Some(self.whole(node))) };
+        let Some(changed) = changed else { return (outage, Some(self.whole(node))) };
         self.tell(node, &changed);
-        (away, Some(self.list(node, newest, false, &changed)))
+        (outage, Some(self.list(node, newest, false, &changed)))
     }
 
     fn tell(&self, node: NodeId, entries: &[Entry]) {
--- a/lab/src/host/stage.rs
+++ b/lab/src/host/stage.rs
@@ -11,6 +11,7 @@
 
 use super::servers::Slips;
 use crate::referee::{Referee, DRAINED_AFTER, TOLD_ANYWAY};
+use crate::scenario::Outage;
 use crate::world::{Effect, Ending, Front, JobId, Micros, NodeId, NodeOrder, Phase, ServerIx, World};
 
 /// The pulse looks at the world at least this often.
@@ -49,6 +50,7 @@
     orders: Vec<mpsc::UnboundedSender<Order>>,
     /// For each node: its agent has something new.
     news: Vec<Arc<Notify>>,
+    outage: watch::Sender<Option<Outage>>,
     kick: Notify,
     faults: Mutex<Vec<String>>,
     /// For each node since when it stands by, if it does.
@@ -82,6 +84,7 @@
             next_job: AtomicU64::new(1),
             orders,
             news: (0..nodes).map(|_| Arc::default()).collect(),
+            outage: watch::Sender::new(None),
             kick: Notify::new(),
             faults: Mutex::default(),
             standby: Mutex::new(vec![None; nodes]),
@@ -204,6 +207,11 @@
         self.news[node].clone()
     }
 
+    /// Follows the ways in which discovery is out of reach.
+    pub fn outage(&self) -> watch::Receiver<Option<Outage>> {
+        self.outage.subscribe()
+    }
+
     fn pass_on(&self, world: &mut World, now: Micros, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
@@ -232,6 +240,10 @@
                     });
                     self.news[node].notify_waiters();
                 }
+                Effect::Discovery(outage) => {
+                    self.outage.send_replace(outage);
+                    self.news.iter().for_each(|news| news.notify_waiters());
+                }
                 Effect::Node(node, order) => drop(self.orders[node].send(Order::Do(order))),
                 Effect::Hand(server, out) => {
                     let id = &world.servers()[server].id;
--- a/lab/src/scenario/model.rs
+++ b/lab/src/scenario/model.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use toml::Spanned;
 
+use super::discovery::Discovery;
 use super::values::{Positive, Seconds, Share, Span};
 
 /// A scenario: what a day holds. What a file leaves out keeps the defaults of `bilbao-main`.
@@ -385,37 +386,6 @@
     }
 }
 
-/// The list of servers.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Discovery {
-    /// Seconds until a process that ended or drains is on the list.
-    pub notice_s: Span,
-    /// Seconds until a machine that fell silent is.
-    pub silent_notice_s: Span,
-    /// Seconds until a process that started is.
-    pub add_s: Span,
-    /// Milliseconds between versions of the list.
-    pub period_ms: Span,
-    /// Milliseconds over which nodes hear of a version.
-    pub spread_ms: Span,
-    /// Versions late by this much more, in seconds: the service has too much to do.
-    pub overbooked_s: Seconds,
-}
-
-impl Default for Discovery {
-    fn default() -> Self {
-        Discovery {
-            notice_s: Span::new(0.47, 2.8),
-            silent_notice_s: Span::new(5.7, 13.0),
-            add_s: Span::new(0.25, 1.2),
-            period_ms: Span::new(330.0, 1300.0),
-            spread_ms: Span::new(17.0, 110.0),
-            overbooked_s: Seconds(0.0),
-        }
-    }
-}
-
 /// Something that goes wrong. Which of the fields a kind needs is said at [`TroubleKind`].
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -457,8 +427,14 @@
     Replace,
     /// All servers of `zone` are away `for_s` and come back cold.
     LostZone,
-    /// Discovery says nothing, `for_s`.
+    /// Discovery says nothing, `for_s`; what was called meanwhile is answered then.
     DiscoveryAway,
+    /// Discovery hangs, `for_s`: what is open or called until its return is never heard of again.
+    DiscoveryHangs,
+    /// Discovery resets all connections, `for_s`.
+    DiscoveryResets,
+    /// Discovery ends its watches and answers 503, `for_s`.
+    DiscoveryErrors,
     /// Discovery moves: a new configuration and SIGHUP.
     DiscoveryMoves,
     /// Discovery calls `part` of the healthy servers gone, `for_s`.
@@ -499,7 +475,7 @@
             Silent | Restart | DiscoveryWrong | NodeCrash | Hand | Drain => &["for_s", "part"],
             Replace | Upgrade => &["part", "step_s"],
             LostZone => &["for_s", "zone"],
-            DiscoveryAway => &["for_s"],
+            DiscoveryAway | DiscoveryHangs | DiscoveryResets | DiscoveryErrors => &["for_s"],
             DiscoveryMoves => &[],
             NodeRoll => &["for_s", "part", "step_s"],
             Burst => &["for_s", "size"],
--- a/lab/src/sim/node.rs
+++ b/lab/src/sim/node.rs
@@ -5,6 +5,7 @@
 
 use woodgap::{Action, Event, RequestId};
 
+use super::run::calls::Call;
 use crate::policy::{Policy, Truth};
 use crate::wire::WireError;
 use crate::world::{JobId, Micros, NodeId, ServerIx};
@@ -50,13 +51,24 @@
     pub held: BTreeMap<RequestId, Held>,
     /// The version of the list that it has.
     pub revision: u64,
+    /// Its call to discovery, where the list is asked for.
+    pub call: Call,
     busy_until: Micros,
     pub cpu: Micros,
 }
 
 impl Process {
     pub fn new(node: NodeId, policy: Box<dyn Policy>, revision: u64) -> Process {
-        Process { node, alive: true, policy, held: BTreeMap::new(), revision, busy_until: 0, cpu: 0 }
+        Process {
+            node,
+            alive: true,
+            policy,
+            held: BTreeMap::new(),
+            revision,
+            call: Call::None,
+            busy_until: 0,
+            cpu: 0,
+        }
     }
 
     /// When it is free for an event that comes now.
--- a/lab/src/sim/run/effects.rs
+++ b/lab/src/sim/run/effects.rs
@@ -7,6 +7,7 @@
     pub(super) fn carry_out(&mut self, effect: Effect) {
         match &effect {
             Effect::Done { .. } => {}
+            Effect::Discovery(_) => self.note_of(None, None, || format!("{effect:?}")),
             Effect::Down(at) | Effect::Up(at) | Effect::Silent(at, _) | Effect::Hand(at, _) => {
                 self.note_of(Some(*at), None, || format!("{effect:?}"));
             }
@@ -25,6 +26,7 @@
                 self.referee.toppled(&id, told, self.now);
             }
             Effect::Told(node) => self.tell(node),
+            Effect::Discovery(outage) => outage.into_iter().for_each(|outage| self.lose_discovery(outage)),
             Effect::Node(node, order) => self.order(node, order),
             Effect::Hand(at, out) => {
                 let (server, id) = (number_of(&self.world, at), self.world.servers()[at].id.clone());
@@ -69,24 +71,6 @@
         }
     }
 
-    pub(super) fn tell(&mut self, node: NodeId) {
-        let registry = self.world.registry();
-        let newest = registry.revision(node);
-        let versions: Vec<ProcessIx> = (0..self.processes.len())
-            .filter(|&p| self.processes[p].node == node && self.processes[p].alive)
-            .collect();
-        for process in versions {
-            let changed =
-                self.world.registry().since(node, self.processes[process].revision).unwrap_or_default();
-            self.processes[process].revision = newest;
-            for entry in &changed {
-                self.referee.told(node, &entry.id, entry.phase, self.now);
-            }
-            let members = self.members(&changed);
-            self.deliver(process, Event::Sync { kind: SyncKind::Delta, members });
-        }
-    }
-
     pub(super) fn members(&mut self, entries: &[Entry]) -> Vec<Member> {
         for (at, server) in self.world.servers().iter().enumerate() {
             self.places.insert(number(&server.id), at);
--- a/lab/src/sim/run/mod.rs
+++ b/lab/src/sim/run/mod.rs
@@ -1,6 +1,7 @@
 //! Owns one play in virtual time: what is due, and what each thing that falls due brings about.
 
 mod attempts;
+pub(super) mod calls;
 mod effects;
 mod tries;
 
@@ -21,7 +22,7 @@
 use super::{Played, SimPlan};
 use crate::outcome::{NodeReport, Outcome};
 use crate::policy::{Starter, Truth};
-use crate::referee::{Referee, LOST_AFTER};
+use crate::referee::{Referee, LOST_AFTER, TOLD_ANYWAY};
 use crate::terms;
 use crate::wire::{Recorder, WireError};
 use crate::world::{
@@ -50,6 +51,8 @@
     Ended(ProcessIx, RequestId, usize, End),
     /// A client gives its try up.
     GiveUp(ProcessIx, RequestId),
+    /// A call to discovery is answered (true), or it or its subscription has failed.
+    Call(ProcessIx, u64, bool),
     /// By now the try must have had its answer.
     Judge(ProcessIx, RequestId),
     /// A node's front takes it in.
@@ -85,6 +88,8 @@
     places: BTreeMap<ServerId, ServerIx>,
     jobs: BTreeMap<JobId, (ProcessIx, RequestId, usize)>,
     next_job: u64,
+    /// Calls to discovery so far; each has its number.
+    calls: u64,
     now: Micros,
 }
 
@@ -126,6 +131,7 @@
             places: BTreeMap::new(),
             jobs: BTreeMap::new(),
             next_job: 0,
+            calls: 0,
             now: 0,
             world,
             plan,
@@ -190,6 +196,7 @@
             Due::Expire(process, id, attempt) => self.end_attempt(process, id, attempt, End::Timeout),
             Due::Ended(process, id, attempt, end) => self.end_attempt(process, id, attempt, end),
             Due::GiveUp(process, id) => self.give_up(process, id),
+            Due::Call(process, number, answered) => self.end_call(process, number, answered),
             Due::Judge(process, id) => self.judge(process, id),
             Due::Retire(process) => {
                 let node = self.processes[process].node;
--- a/lab/src/sim/run/tries.rs
+++ b/lab/src/sim/run/tries.rs
@@ -139,8 +139,9 @@
             Action::SetTimer { delay, timer } => {
                 self.queue.push(self.now + delay.max(1), Due::Event(process, Event::Timer(TimerId(timer.0))));
             }
-            // The list comes unasked, nodes share nothing, and the log has no reader here.
-            Action::Subscribe | Action::Tell { .. } | Action::Log(_) => {}
+            Action::Subscribe => self.call(process),
+            // Nodes share nothing, and the log has no reader here.
+            Action::Tell { .. } | Action::Log(_) => {}
         }
     }
 
--- a/lab/src/terms.rs
+++ b/lab/src/terms.rs
@@ -1,9 +1,9 @@
 //! Owns what a node is told of its deployment, the same by every host: the settings that follow from a
 //! scenario and none of the world's true values (WIRE, "What does an instance know at start?").
 
-use woodgap::{Class, Semantics, Settings, WeightSource, WorthBy};
+use woodgap::{Class, Discovery, Semantics, Settings, WeightSource, WorthBy};
 
-use crate::scenario::{Kind, Repeats, Scenario};
+use crate::scenario::{Kind, Mode, Repeats, Scenario};
 
 /// Longest time for a connection to come up, in microseconds (BENCH: `connect_timeout_ms`).
 const DIAL_TIMEOUT: u64 = 200_000;
@@ -27,6 +27,10 @@
         in_order: false,
     });
     Settings {
+        discovery: match scenario.discovery.mode {
+            Mode::Push => Discovery::Push,
+            Mode::Ask => Discovery::Ask,
+        },
         group_size: scenario.run.told_nodes.unwrap_or(nodes as u32).max(1),
         classes: classes.collect(),
         over_share_worth: 0.1,
--- a/lab/src/wire/mod.rs
+++ b/lab/src/wire/mod.rs
@@ -10,7 +10,8 @@
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use woodgap::{
-    Action, Event, Member, Outcome, RequestId, Semantics, ServerId, ServerState, Settings, SyncKind, TimerId,
+    Action, Discovery, Event, Member, Outcome, RequestId, Semantics, ServerId, ServerState, Settings,
+    SyncKind, TimerId,
 };
 
 use crate::world::Micros;
@@ -64,13 +65,14 @@
 pub fn settings_line(settings: &Settings, names: &[String]) -> String {
     let s = settings;
     let mut line = format!(
-        "group-size={} over-share-worth={} worth-by=work weight-source=rough registry-mode=push \
+        "group-size={} over-share-worth={} worth-by=work weight-source=rough registry-mode={} \
          domain.warm-keys={} bounds.cancelling={} bounds.may-probe={} bounds.second-copies={} \
          bounds.max-attempts={} bounds.retry-after={} bounds.max-retry-after={} bounds.dial-timeout={} \
          deductions.handshake={} deductions.connection={} rules.start-capacity={} rules.ramp-time={} \
          rules.fall-multiple={} rules.ask-within={} classes.count={}",
         s.group_size,
         s.over_share_worth,
+        if s.discovery == Discovery::Ask { "ask" } else { "push" },
         s.warm_keys,
         s.cancelling,
         s.may_probe,
@@ -214,39 +216,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::scenario::Scenario;
-    use woodgap::settings::{parse, Pairs};
-
-    #[test]
-    fn the_settings_are_read_back_as_they_were() {
-        let scenario = Scenario::find("big-bodies").unwrap();
-        let settings = crate::terms::settings(&scenario, 7);
-        let names = scenario.class_names();
-        let line = settings_line(&settings, &names);
-        let (read, read_names) = parse(&Pairs::from_line(&line).unwrap()).unwrap();
-        assert_eq!(format!("{read:?}"), format!("{settings:?}"));
-        assert_eq!(read_names.classes(), names);
-    }
-
-    #[test]
-    fn actions_are_read_back_as_they_were_and_others_are_told() {
-        let id = RequestId([b'7'; 36]);
-        for written in [
-            Action::Send { id, server: ServerId(9), limit: 3 },
-            Action::Cancel { id, attempt: 2 },
-            Action::Refuse { id, retry_after: 5 },
-            Action::Fail { id },
-            Action::Probe(ServerId(1)),
-            Action::CloseIdle(ServerId(2)),
-            Action::SetTimer { delay: 4, timer: TimerId(6) },
-            Action::Log("two words".into()),
-        ] {
-            assert_eq!(action(&action_line(&written)).unwrap(), written);
-        }
-        for line in ["DELIVER short 1 2", "GIVE_UP", "NONSENSE", "SET_ALARM x 1"] {
-            assert!(action(line).unwrap_err().to_string().contains(line));
-        }
-    }
-}
+mod tests;
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -19,7 +19,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-use crate::scenario::{Fleet, Scenario, Span};
+use crate::scenario::{Fleet, Outage, Scenario, Span};
 
 pub use client::{Answer, Client, Try};
 pub use demand::{Ask, Demand};
@@ -73,6 +73,8 @@
     },
     /// A node's agent has something to tell.
     Told(NodeId),
+    /// Discovery goes out of reach, in this way, or is back.
+    Discovery(Option<Outage>),
     /// Something is done to a node.
     Node(NodeId, NodeOrder),
     /// Operators take a server out (true) or put it back, at every node.
@@ -315,7 +317,10 @@
                     }
                 }
             }
-            Step::Discovery(away) => self.registry.set_away(now, away),
+            Step::Discovery(outage) => {
+                self.registry.set_outage(now, outage);
+                out.push(Effect::Discovery(outage));
+            }
             Step::Wrong(at, on) => {
                 let mut entry = self.servers[at].entry();
                 if on {
@@ -383,75 +388,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn scenario(text: &str) -> Scenario {
-        Scenario::read("test.toml", &format!("title = \"t\"\n{text}")).unwrap()
-    }
-
-    /// Plays what happens of itself until `end`, with `rate` requests a second at server `at`.
-    fn play(world: &mut World, node: NodeId, at: ServerIx, rate: u64, end: Micros) -> Vec<(Micros, Effect)> {
-        let (mut seen, mut out, mut now, mut job) = (Vec::new(), Vec::new(), 0, 0);
-        while now < end {
-            let next = world.next_at().unwrap_or(end).max(now + 1);
-            let arrival = (job + 1) * SECOND / rate.max(1);
-            let send = rate > 0 && arrival <= next;
-            now = if send { arrival } else { next };
-            world.advance(now, &mut out);
-            if send {
-                job += 1;
-                let id = JobId(job);
-                world.offer(now, node, at, Job { id, work: 40_000, io: 20_000, key: None }, &mut out);
-            }
-            seen.extend(out.drain(..).map(|effect| (now, effect)));
-        }
-        seen
-    }
-
-    #[test]
-    fn one_seed_is_one_world_and_another_is_another() {
-        let scenario = scenario("[[trouble]]\nat_s = 1\nkind = \"replace\"\npart = 0.5\nstep_s = 0.5");
-        let run = |seed| play(&mut World::new(&scenario, seed, 2, 6), 0, 1, 20, 8 * SECOND);
-        assert_eq!(run(3), run(3));
-        assert_ne!(run(3), run(4));
-    }
-
-    #[test]
-    fn a_cold_server_sent_too_much_falls_over_and_a_warm_one_does_not() {
-        let scenario = scenario("[[trouble]]\nat_s = 1\nkind = \"restart\"\npart = 0.01\nfor_s = 1");
-        let mut world = World::new(&scenario, 5, 1, 4);
-        let struck = play(&mut World::new(&scenario, 5, 1, 4), 0, 0, 0, 2 * SECOND);
-        let (_, Effect::Down(at)) = struck.iter().find(|(_, e)| matches!(e, Effect::Down(_))).unwrap() else {
-            unreachable!()
-        };
-        let seen = play(&mut world, 0, *at, 120, 12 * SECOND);
-        let fell = seen.iter().find(|(_, e)| matches!(e, Effect::Toppled { .. }));
-        assert!(
-            matches!(fell, Some((when, Effect::Toppled { told, .. })) if *when > 2 * SECOND && *told > 0.5)
-        );
-        let warm = play(&mut World::new(&scenario, 5, 1, 4), 0, (at + 1) % 4, 120, 12 * SECOND);
-        assert!(!warm.iter().any(|(_, e)| matches!(e, Effect::Toppled { .. })));
-    }
-
-    #[test]
-    fn a_jammed_server_serves_less_until_it_has_rested() {
-        let scenario = scenario("");
-        let served = |rate| {
-            let seen = play(&mut World::new(&scenario, 7, 1, 3), 0, 0, rate, 12 * SECOND);
-            let done = |from: u64, to: u64| {
-                seen.iter()
-                    .filter(|(at, e)| {
-                        (from * SECOND..to * SECOND).contains(at)
-                            && matches!(e, Effect::Done { ending: Ending::Served, .. })
-                    })
-                    .count()
-            };
-            (done(0, 2), done(8, 10))
-        };
-        let (early, late) = served(200);
-        assert!(late * 2 < early, "jammed: {early} in the first two seconds, {late} later");
-        let (early, late) = served(10);
-        assert!(late + 5 > early, "at ease: {early} in the first two seconds, {late} later");
-    }
-}
+mod tests;
--- a/lab/src/world/registry.rs
+++ b/lab/src/world/registry.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg64;
 
 use super::{Micros, NodeId, SECOND};
-use crate::scenario::{Discovery, Scenario};
+use crate::scenario::{Discovery, Outage, Scenario};
 
 /// What discovery says of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,7 +73,7 @@
     reached: Vec<u64>,
     /// For each node the list as its agent has it.
     views: Vec<BTreeMap<String, Entry>>,
-    away: bool,
+    outage: Option<Outage>,
     next: Option<Micros>,
 }
 
@@ -92,7 +92,7 @@
             on_way: vec![Vec::new(); nodes],
             reached: vec![1; nodes],
             views: vec![BTreeMap::new(); nodes],
-            away: false,
+            outage: None,
             next: None,
         }
     }
@@ -134,9 +134,9 @@
         self.find_next();
     }
 
-    pub(super) fn set_away(&mut self, now: Micros, away: bool) {
-        self.away = away;
-        if !away {
+    pub(super) fn set_outage(&mut self, now: Micros, outage: Option<Outage>) {
+        self.outage = outage;
+        if outage.is_none() {
             self.next_version = self.next_version.max(now);
             for way in &mut self.on_way {
                 way.iter_mut().for_each(|(at, _)| *at = (*at).max(now));
@@ -145,13 +145,13 @@
         self.find_next();
     }
 
-    /// Whether the service and its agents say nothing.
-    pub fn is_away(&self) -> bool {
-        self.away
+    /// The way in which the service and its agents are out of reach, if they are.
+    pub fn outage(&self) -> Option<Outage> {
+        self.outage
     }
 
     pub(super) fn next_at(&self) -> Option<Micros> {
-        self.next.filter(|_| !self.away)
+        self.next.filter(|_| self.outage.is_none())
     }
 
     /// Hosts ask for the next time at each event: it is looked for only when something has changed.
--- a/lab/src/world/timeline.rs
+++ b/lab/src/world/timeline.rs
@@ -6,7 +6,7 @@
 use rand_pcg::Pcg64;
 
 use super::{some_of, Micros, NodeId, NodeOrder, ServerIx};
-use crate::scenario::{Scenario, Trouble, TroubleKind};
+use crate::scenario::{Outage, Scenario, Trouble, TroubleKind};
 
 /// One thing that happens.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,8 +27,8 @@
     TurnAway(ServerIx),
     /// A zone's servers are back (true) or away.
     Zone(usize, bool),
-    /// Discovery goes away (true) or is back.
-    Discovery(bool),
+    /// Discovery goes out of reach, in this way, or is back.
+    Discovery(Option<Outage>),
     /// Discovery calls a good server gone, or takes it back.
     Wrong(ServerIx, bool),
     /// Operators take a server out, or put it back.
@@ -110,9 +110,9 @@
                 self.push(at, Step::Zone(zone, false));
                 self.push(end, Step::Zone(zone, true));
             }
-            DiscoveryAway => {
-                self.push(at, Step::Discovery(true));
-                self.push(end, Step::Discovery(false));
+            DiscoveryAway | DiscoveryHangs | DiscoveryResets | DiscoveryErrors => {
+                self.push(at, Step::Discovery(t.kind.outage()));
+                self.push(end, Step::Discovery(None));
             }
             DiscoveryMoves => {
                 (0..nodes).for_each(|node| self.push(at, Step::Node(node, NodeOrder::MoveDiscovery)))
