--- a/src/bin/woodgap/discovery/tests.rs
+++ b/src/bin/woodgap/discovery/tests.rs
@@ -1,4 +1,4 @@
-//! How a watch is read, and what lists may bring.
+//! Lists and their watch, value by value.
 
 use super::*;
 
--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -20,8 +20,6 @@
     pub addr: SocketAddr,
     /// Where operators call, if they may.
     pub operator: String,
-    /// What the node writes once it listens.
-    pub log: Receiver<String>,
     pub does: Vec<Arc<Mutex<Does>>>,
     pub members: Vec<Value>,
     pub seen: Receiver<Seen>,
@@ -29,6 +27,27 @@
     /// What the node was told, and the file that tells it.
     pub config: Value,
     pub file: tempfile::NamedTempFile,
+    pub log: Log,
+}
+
+/// What a node has written to its log.
+#[derive(Clone, Default)]
+pub struct Log(Arc<Mutex<Vec<String>>>);
+
+impl Log {
+    pub fn lines(&self) -> Vec<String> {
+        self.0.lock().unwrap().clone()
+    }
+
+    /// Waits for a line with all of these words; it.
+    pub fn waits_for(&self, words: &[&str]) -> String {
+        let mut found = None;
+        until(&format!("a line with {words:?}"), || {
+            found = self.lines().into_iter().find(|line| words.iter().all(|word| line.contains(word)));
+            found.is_some()
+        });
+        found.unwrap()
+    }
 }
 
 /// Starts a node and waits until it listens: on `listener`, handed down as descriptor 4, if given.
@@ -37,48 +56,56 @@
     listener: Option<&TcpListener>,
     env: &[(&str, &str)],
 ) -> (Child, SocketAddr, String) {
-    let (node, addr, operator, log) = start_heard(config, listener, env);
-    thread::spawn(move || log.into_iter().for_each(drop));
+    let (node, addr, operator, _) = start_logged(config, listener, env);
     (node, addr, operator)
 }
 
-/// The same; what it writes from then on comes too.
-fn start_heard(
+/// Likewise, with its log. The process gets no more descriptors than its configuration says, as where nodes run.
+pub fn start_logged(
     config: &Path,
     listener: Option<&TcpListener>,
     env: &[(&str, &str)],
-) -> (Child, SocketAddr, String, Receiver<String>) {
-    let program = env!("CARGO_BIN_EXE_woodgap");
-    let mut command = match listener {
-        None => Command::new(program),
-        Some(listener) => {
-            let mut command = Command::new("/bin/sh");
-            command.args(["-c", "exec 4<&0 </dev/null; exec \"$0\"", program]);
-            command.stdin(OwnedFd::from(listener.try_clone().unwrap()));
-            command
-        }
-    };
+) -> (Child, SocketAddr, String, Log) {
+    let text = std::fs::read_to_string(config).unwrap();
+    let sockets = serde_json::from_str::<Value>(&text).unwrap()["limits"]["sockets"].as_u64().unwrap_or(1024);
+    start_within(sockets, config, listener, env)
+}
+
+/// Likewise, with so many descriptors, whatever its configuration says.
+pub fn start_within(
+    sockets: u64,
+    config: &Path,
+    listener: Option<&TcpListener>,
+    env: &[(&str, &str)],
+) -> (Child, SocketAddr, String, Log) {
+    let mut command = Command::new("/bin/sh");
+    let inherits = if listener.is_some() { "exec 4<&0 </dev/null; " } else { "" };
+    let script = format!("ulimit -n {sockets}; {inherits}exec \"$0\"");
+    command.args(["-c", &script, env!("CARGO_BIN_EXE_woodgap")]);
+    if let Some(listener) = listener {
+        command.stdin(OwnedFd::from(listener.try_clone().unwrap()));
+    }
     command.env_clear().env("BALANCER_CONFIG", config).envs(env.iter().copied());
     if listener.is_some() {
         command.env("BALANCER_FD", "4");
     }
     let mut node = command.stderr(Stdio::piped()).spawn().unwrap();
-    let mut log = BufReader::new(node.stderr.take().unwrap()).lines();
-    let mut operator = String::new();
-    let addr = log
+    let mut lines = BufReader::new(node.stderr.take().unwrap()).lines();
+    let (mut operator, log) = (String::new(), Log::default());
+    let addr = lines
         .by_ref()
         .find_map(|line| {
             let line = line.unwrap();
+            log.0.lock().unwrap().push(line.clone());
             if let Some((_, addr)) = line.split_once("operators call at ") {
                 operator = addr.to_owned();
             }
             line.split_once("listens on ").map(|(_, addr)| addr.parse().unwrap())
         })
         .expect("the node listens");
-    let (tx, lines) = channel();
-    // Read to its end, also where nobody listens any more.
-    thread::spawn(move || log.map_while(Result::ok).for_each(|line| drop(tx.send(line))));
-    (node, addr, operator, lines)
+    let kept = log.clone();
+    thread::spawn(move || lines.map_while(Result::ok).for_each(|line| kept.0.lock().unwrap().push(line)));
+    (node, addr, operator, log)
 }
 
 pub fn signal(node: &Child, name: &str) {
@@ -144,8 +171,8 @@
         shape(&mut config);
         let mut file = tempfile::NamedTempFile::new().unwrap();
         file.write_all(config.to_string().as_bytes()).unwrap();
-        let (node, addr, operator, log) = start_heard(file.path(), None, env);
-        Site { node, addr, operator, log, does, members, seen, watches, config, file }
+        let (node, addr, operator, log) = start_logged(file.path(), None, env);
+        Site { node, addr, operator, does, members, seen, watches, config, file, log }
     }
 
     pub fn all_do(&self, what: Does) {
@@ -221,7 +248,21 @@
 
 /// The node's resident memory.
 pub fn memory_kb(node: &Child) -> u64 {
+    status_kb(node, "VmRSS:")
+}
+
+/// The most that it ever was.
+pub fn most_memory_kb(node: &Child) -> u64 {
+    status_kb(node, "VmHWM:")
+}
+
+fn status_kb(node: &Child, field: &str) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", node.id())).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix(field)).unwrap();
     line.trim().trim_end_matches(" kB").parse().unwrap()
 }
+
+/// How many descriptors the node holds.
+pub fn descriptors(node: &Child) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", node.id())).unwrap().count()
+}
--- a/tests/node/told.rs
+++ b/tests/node/told.rs
@@ -237,6 +237,12 @@
     (addr, stamps)
 }
 
+/// Waits until the node has said of so many calls that they failed.
+fn wait_for_failures(site: &Site, failures: usize) {
+    let says = |line: &&String| line.starts_with("discovery: ");
+    until("calls fail", || site.log.lines().iter().filter(says).count() >= failures);
+}
+
 /// One request of each key, each until it is served: on a machine that halts for a moment the node takes slow answers
 /// for a jam, and may refuse some.
 fn ask_all(site: &Site) {
@@ -260,8 +266,7 @@
         config["seed"] = json!(format!("{seed:x}"));
     });
     site.members = site.config["known"]["members"].as_array().unwrap().clone();
-    let failed = site.log.iter().filter(|line| line.starts_with("discovery: "));
-    assert_eq!(failed.take(FAILURES).count(), FAILURES, "{fault:?}, {mode}: the node ended");
+    wait_for_failures(&site, FAILURES);
     ask_all(&site);
     assert!(stamps.try_iter().count() > 0, "{fault:?}, {mode}: the server is not reached");
     discovery.wait_for_a_call();
@@ -325,7 +330,7 @@
         config["discovery"] = json!(discovery.addr.to_string());
         config["seed"] = json!("44");
     });
-    assert_eq!(site.log.iter().filter(|line| line.starts_with("discovery: ")).take(3).count(), 3);
+    wait_for_failures(&site, 3);
     let (moved, calls) = scripted();
     site.names_discovery(moved);
     site.signal("-HUP");
