--- a/src/bin/woodgap/discovery.rs
+++ b/src/bin/woodgap/discovery.rs
@@ -42,6 +42,8 @@
         /// What came was refused: it will be no better at once.
         refused: bool,
         why: String,
+        /// When discovery was last called or heard.
+        heard: Instant,
     },
 }
 
@@ -123,7 +125,8 @@
 }
 
 /// Watches from a revision on and hands on what comes until the watch ends; then says how. Its first item
-/// must have come within `patience`, and none may be longer than `longest` bytes. Its socket is one of `sockets`, which are there for watches alone.
+/// must have come within `patience`, and none may be longer than `longest` bytes. Its socket is one of `sockets`, which
+/// are there for watches alone.
 pub async fn watch(
     addr: SocketAddr,
     revision: u64,
@@ -131,7 +134,8 @@
     sockets: Rc<Budget>,
     mut tell: impl FnMut(News),
 ) {
-    let ended = follow(addr, revision, (patience, longest), &sockets, &mut tell).await;
+    let mut heard = Instant::now();
+    let ended = follow(addr, revision, (patience, longest), &sockets, &mut heard, &mut tell).await;
     let silent = ended.as_ref().is_err_and(|reason| reason.is::<Elapsed>());
     let refused = ended.as_ref().is_err_and(|reason| reason.is::<Refused>());
     let why = match ended {
@@ -139,7 +143,7 @@
         Err(reason) => reason.to_string(),
         Ok(never) => match never {},
     };
-    tell(News::Failed { silent, refused, why });
+    tell(News::Failed { silent, refused, why, heard });
 }
 
 type Fault = Box<dyn std::error::Error>;
@@ -149,10 +153,11 @@
     revision: u64,
     (patience, longest): (Duration, usize),
     sockets: &Rc<Budget>,
+    heard: &mut Instant,
     tell: &mut impl FnMut(News),
 ) -> Result<Infallible, Fault> {
     // One span for all that comes before an item: a call that hangs hangs once, wherever it does.
-    let mut by = Instant::now() + patience;
+    let mut by = *heard + patience;
     // The watch that this one replaces gives its own back when its task is next run.
     let permit = timeout_at(by, sockets.wait()).await?;
     let stream = timeout_at(by, TcpStream::connect(addr)).await??;
@@ -180,7 +185,8 @@
         items.push(&chunk);
         while let Some(item) = items.next()? {
             // Bytes alone are no sign of life: a part of a list may be all that ever comes.
-            by = Instant::now() + SILENCE;
+            *heard = Instant::now();
+            by = *heard + SILENCE;
             match item {
                 // Even where nothing changed, the module is owed an answer to its call.
                 Item::Beat if first => tell(News::List(List::default())),
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -12,7 +12,7 @@
 use tokio_util::time::{delay_queue, DelayQueue};
 use woodgap::{
     Action, Balancer, ClassId, Closed, Discovery, Event, Key, Micros, Outcome, Request, RequestId, ServerId,
-    SyncKind, TenantId, TimerId,
+    SyncKind, TenantId, TimerId, CALL_AGAIN,
 };
 
 use crate::bans::Bans;
@@ -422,7 +422,7 @@
                 let (kind, members) = self.servers.apply(&list, older);
                 self.events.push_back(Event::Sync { kind, members });
             }
-            News::Failed { silent, refused, why } => {
+            News::Failed { silent, refused, why, heard } => {
                 self.watching = Watch::Ended;
                 if self.fault != why {
                     let (listed, revision) = (self.servers.listed(), self.revision);
@@ -433,7 +433,11 @@
                 let pause = if refused { AGAIN_AFTER_REFUSAL } else { AGAIN };
                 match self.mode {
                     Discovery::Ask => {
-                        self.events.push_back(Event::Sync { kind: SyncKind::Failed, members: Vec::new() })
+                        self.events.push_back(Event::Sync { kind: SyncKind::Failed, members: Vec::new() });
+                        // Also after a call that the module knows nothing of, as SIGHUP's.
+                        let latest = heard + Duration::from_micros(CALL_AGAIN);
+                        let latest = self.due.insert_at(Due::Watch, latest);
+                        self.watching = Watch::Pauses(latest);
                     }
                     // It has been waited for already.
                     Discovery::Push if silent => self.subscribe(),
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod operators;
 mod requests;
 mod restart;
+mod told;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
