Tests: processes that start together are ready in time, with discovery up, hanging and down

Need: nine in ten restarted processes are to be ready within 10 s, with lists of 200 and of 18,000 and whatever discovery does; nothing measured it.

It starts processes at once on listeners held for them and takes the time until each is ready, has served its first request and, with discovery up, has taken over discovery's list. Nine in ten of each must come within 10 s. Four processes where WOODGAP_READY_PROCESSES names no other number.

--- /dev/null
+++ b/tests/ready.rs
@@ -0,0 +1,168 @@
+//! How soon processes that are restarted together are ready, whatever discovery does and however long the list is.
+//!
+//! `WOODGAP_READY_PROCESSES` says how many start at once (4 where nothing says it; the figures of the docs are from 30):
+//!
+//!     WOODGAP_READY_PROCESSES=30 cargo test --release --test ready -- --nocapture
+//!
+//! A test program of its own: what it starts would take the processor from the node's other tests.
+
+mod common;
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::process::Child;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use common::http::*;
+use common::site::*;
+use common::stand_ins::*;
+
+/// Nine in ten processes are to be ready within this long, from their start on.
+const READY: Duration = Duration::from_secs(10);
+
+/// What discovery does while the processes start.
+#[derive(Clone, Copy, Debug)]
+enum Discovery {
+    /// Hands on the whole list at once.
+    Up,
+    /// Accepts, and never answers.
+    Hangs,
+    /// Refuses all connections.
+    Down,
+}
+
+impl Discovery {
+    fn tells(self) -> bool {
+        matches!(self, Discovery::Up)
+    }
+}
+
+/// One discovery for all processes.
+fn opens(does: Discovery, list: &str) -> (SocketAddr, Option<socket2::Socket>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    let addr = socket.local_addr().unwrap().as_socket().unwrap();
+    if matches!(does, Discovery::Down) {
+        return (addr, Some(socket));
+    }
+    socket.listen(256).unwrap();
+    let framed = format!("{:x}\r\n{list}\r\n", list.len());
+    let watches = connections(TcpListener::from(socket));
+    thread::spawn(move || {
+        let mut open = Vec::new();
+        for mut watch in watches {
+            if does.tells() {
+                let framed = framed.clone();
+                thread::spawn(move || {
+                    let _ = Message::read(&mut BufReader::new(watch.try_clone().unwrap()));
+                    let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                    let _ = watch.write_all(head).and_then(|()| watch.write_all(framed.as_bytes()));
+                    // An empty line every 2 s, until the node goes.
+                    while watch.write_all(b"1\r\n\n\r\n").is_ok() {
+                        thread::sleep(Duration::from_secs(2));
+                    }
+                });
+            } else {
+                open.push(watch);
+            }
+        }
+    });
+    (addr, None)
+}
+
+/// A process that ends with its test.
+struct Started(Child);
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+const READY_CALL: &[u8] = b"GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+
+/// When a condition first holds, from `start` on; `None` after PATIENCE.
+fn after(start: Instant, holds: impl Fn() -> bool) -> Option<Duration> {
+    while start.elapsed() < PATIENCE {
+        if holds() {
+            return Some(start.elapsed());
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    None
+}
+
+/// The middle, nine in ten and the most.
+fn spread(mut times: Vec<Duration>) -> String {
+    times.sort();
+    let part = |tenths: usize| times[(times.len() * tenths).div_ceil(10) - 1].as_secs_f64();
+    format!("p50 {:.3} s, p90 {:.3} s, most {:.3} s", part(5), part(9), part(10))
+}
+
+fn starts_together(count: usize, does: Discovery, servers: usize) {
+    // All names lead to the one server that there is.
+    let site = Site::new(1);
+    let at: SocketAddr = site.members[0]["host_port"].as_str().unwrap().parse().unwrap();
+    let mut members: Vec<_> = (0..servers).map(|n| listed(&format!("s-{n:08x}"), at)).collect();
+    let mut config = site.config.clone();
+    config["known"] = json!({"revision": 41, "complete": true, "members": members});
+    members.push(listed("s-more", at));
+    let list = json!({"revision": 42, "complete": true, "members": members});
+    let (discovery, _down) = opens(does, &format!("{list}\n"));
+    config["discovery"] = json!(discovery.to_string());
+    config["settings"]["registry-mode"] = json!("push");
+    config["settings"]["group-size"] = json!(count);
+    config["limits"] = json!({"sockets": 256, "memory_mb": 192});
+    std::fs::write(site.file.path(), config.to_string()).unwrap();
+    // Their listeners are held for them, as by the platform: nobody else can take an address.
+    let path = site.file.path().to_owned();
+    let start = Instant::now();
+    let starter = |_| {
+        let path = path.clone();
+        thread::spawn(move || {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let env = [("BALANCER_OPERATOR", "127.0.0.1:0")];
+            let (node, addr, operator, _) = start_within(256, &path, Some(&listener), &env);
+            let node = Started(node);
+            // Ready, the first request served, and discovery's list taken over where it is up.
+            let ready =
+                after(start, || ask_at(addr, READY_CALL).is_some_and(|answer| answer.status() == 200));
+            let call = request("look", "1", 60_000);
+            let served = after(start, || ask_at(addr, &call).is_some_and(|answer| answer.status() == 200));
+            let told = after(start, || discovered(&operator) == Some(servers + 1) || !does.tells());
+            (node, [ready, served, told])
+        })
+    };
+    let starters: Vec<_> = (0..count).map(starter).collect();
+    let (nodes, times): (Vec<Started>, Vec<[Option<Duration>; 3]>) =
+        starters.into_iter().map(|starter| starter.join().expect("started")).unzip();
+    let memory = nodes.iter().map(|node| most_memory_kb(&node.0)).max().unwrap_or(0);
+    let what = format!("{count} processes, discovery {does:?}, {servers} servers");
+    assert!(times.iter().flatten().all(Option::is_some), "{what}: {times:?}");
+    for (n, name) in ["ready", "served", "told"].iter().enumerate().take(if does.tells() { 3 } else { 2 }) {
+        let times: Vec<Duration> = times.iter().filter_map(|times| times[n]).collect();
+        println!("{what}: {name} {}; VmHWM {memory} kB", spread(times.clone()));
+        let late = times.iter().filter(|&&time| time >= READY).count();
+        assert!(late * 10 <= count, "{what}: {name} {times:?}");
+    }
+}
+
+/// How many servers the node of this operators' address lists.
+fn discovered(operator: &str) -> Option<usize> {
+    let text = String::from_utf8(call(operator, "GET /status/metrics").body).ok()?;
+    text.lines().find_map(|line| line.strip_prefix("svc_discovered ")?.parse().ok())
+}
+
+#[test]
+fn nine_in_ten_processes_that_start_together_are_ready_in_time() {
+    let count = std::env::var("WOODGAP_READY_PROCESSES").map_or(4, |text| text.parse().unwrap());
+    for servers in [200, 18_000] {
+        for does in [Discovery::Up, Discovery::Hangs, Discovery::Down] {
+            starts_together(count, does, servers);
+        }
+    }
+}
