The system is asked for a client's end where its request's first byte is written

Cause: attempts learned of a leaving from the task that serves the client's connection. Between the client's end and that task's turn lies all that the one thread has queued and the time in which it has no core; attempts that were ready went out first.

Change: a presence holds a weak reference to its client's socket and asks the system (poll, POLLRDHUP), which knows an end behind unread bytes too.

Tests: servers/tests.rs forces the order alone; tests/node/gone.rs lets 500 clients leave at once as a turn, a dial, an outcome, a time-out or a drain comes, with all cores busy and with the node stopped for 0.15 s. Times are those of the client's close and of the kernel's receipt of the attempt's first byte. The late listener's queue is longer: connections it turned back were written to 200 ms before their bytes came. The unit tests of servers.rs move to their file.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -190,10 +190,10 @@
         if !refuse {
             self.guests.borrow_mut().insert(number, guest.clone());
         }
-        let (clients, asks) = (self.clone(), guest.clone());
         let stream = Rc::new(stream);
+        let (clients, asks, socket) = (self.clone(), guest.clone(), stream.clone());
         let service = service_fn(move |request| {
-            let (clients, guest) = (clients.clone(), asks.clone());
+            let (clients, guest, socket) = (clients.clone(), asks.clone(), socket.clone());
             async move {
                 let mut response = if refuse {
                     if let Some(class) = clients.class_of(request.headers()) {
@@ -201,7 +201,7 @@
                     }
                     clients.refusal(Some(OVERFULL))
                 } else {
-                    clients.handle(request, &guest).await
+                    clients.handle(request, &guest, &socket).await
                 };
                 // One that passes in pieces says so itself at its end.
                 if matches!(response.body(), Reply::Whole(_)) {
@@ -301,7 +301,12 @@
         let _ = timeout(Duration::from_micros(longest) + DRAIN, all_ended).await;
     }
 
-    async fn handle(self: &Rc<Self>, request: Request<Incoming>, guest: &Rc<Guest>) -> Response<Reply> {
+    async fn handle(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+        guest: &Rc<Guest>,
+        socket: &Rc<TcpStream>,
+    ) -> Response<Reply> {
         guest.asks();
         if guest.has_two_framings() {
             self.counts.malformed.add();
@@ -312,7 +317,7 @@
                 let ready = self.is_ready();
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
-            "/api" => self.call(request, guest).await.unwrap_or_else(|(status, why)| {
+            "/api" => self.call(request, guest, socket).await.unwrap_or_else(|(status, why)| {
                 self.counts.malformed.add();
                 plain(status, why)
             }),
@@ -324,6 +329,7 @@
         self: &Rc<Self>,
         request: Request<Incoming>,
         guest: &Rc<Guest>,
+        socket: &Rc<TcpStream>,
     ) -> Result<Response<Reply>, (StatusCode, &'static str)> {
         let bad = |why| (StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
@@ -375,7 +381,7 @@
         drop_hop_headers(&mut headers);
         let id = self.next_number();
         let (reply, answer) = oneshot::channel();
-        let presence = Presence::default();
+        let presence = Presence::new(socket);
         let arrival = Arrival {
             id,
             class: ClassId(class),
--- a/src/bin/woodgap/presence.rs
+++ b/src/bin/woodgap/presence.rs
@@ -1,22 +1,35 @@
 //! Whether a request's client is still there. The client's side owns the presence; attempts hold only a
-//! view of it and may write nothing once it is gone, whatever else is on its way to them.
+//! view of it and may write nothing once it is gone, whatever else is on its way to them. The system is asked
+//! for the client's end, and not only whoever waits for it here: between the end and the task that is told of
+//! it lies all that the process has to do, and the time in which it has no core.
 
 use std::cell::Cell;
-use std::rc::Rc;
+use std::os::fd::AsFd;
+use std::rc::{Rc, Weak};
 
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-#[derive(Default)]
+/// The other end sends no more, whatever lies unread before that. Resets are told unasked.
+const ENDED: PollFlags = PollFlags::from_bits_retain(nix::libc::POLLRDHUP);
+
 struct Shared {
     gone: Cell<bool>,
     left: Notify,
+    /// The client's connection, which its own side keeps open.
+    socket: Weak<TcpStream>,
 }
 
 /// Held for a client for as long as it waits; dropped with its connection.
-#[derive(Default)]
 pub struct Presence(Rc<Shared>);
 
 impl Presence {
+    pub fn new(socket: &Rc<TcpStream>) -> Self {
+        let socket = Rc::downgrade(socket);
+        Presence(Rc::new(Shared { gone: Cell::new(false), left: Notify::new(), socket }))
+    }
+
     pub fn view(&self) -> Client {
         Client(Some(self.0.clone()))
     }
@@ -29,7 +42,23 @@
     }
 }
 
+impl Shared {
+    fn is_gone(&self) -> bool {
+        let ended = |socket: Rc<TcpStream>| {
+            let mut asked = [PollFd::new(socket.as_fd(), ENDED)];
+            // One that can't be asked is left to its own side to see.
+            matches!(poll(&mut asked, PollTimeout::ZERO), Ok(1..))
+        };
+        if !self.gone.get() && self.socket.upgrade().is_none_or(ended) {
+            self.gone.set(true);
+            self.left.notify_waiters();
+        }
+        self.gone.get()
+    }
+}
+
 /// For whom a request is sent.
+#[derive(Clone)]
 pub struct Client(Option<Rc<Shared>>);
 
 impl Client {
@@ -42,8 +71,9 @@
         self.0.is_none()
     }
 
+    /// Asks the system, so to be called where something is about to be sent.
     pub fn is_gone(&self) -> bool {
-        self.0.as_ref().is_some_and(|shared| shared.gone.get())
+        self.0.as_ref().is_some_and(|shared| shared.is_gone())
     }
 
     /// Ends once the client is gone.
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -419,7 +419,14 @@
                 ready = self.ready(server, until) => ready,
             };
             let Some(Ready { mut link, addr, reused }) = ready else { return Outcome::ConnectFailed.into() };
+            // The connection may yet serve another.
+            if call.client.is_gone() {
+                self.keep(server, link);
+                return Outcome::Moot.into();
+            }
             match exchange(&mut link, call, addr, until, &self.memory).await {
+                // Its client left between that look and the first byte.
+                Exchange::Unsent if call.client.is_gone() => return Outcome::Moot.into(),
                 // A new connection may break by chance; a second one that does tells of the server.
                 Exchange::Unsent if reused || !std::mem::replace(&mut redialled, true) => continue,
                 Exchange::Unsent => return Outcome::ConnectFailed.into(),
@@ -544,7 +551,7 @@
     until: Option<Instant>,
     memory: &Rc<Memory>,
 ) -> Exchange {
-    link.progress.begin(call.client.is_node());
+    link.progress.begin(&call.client);
     let request = request(call, addr, until, link.progress.clone());
     let response = match link.sender.try_send_request(request).await {
         Ok(response) => response,
@@ -582,235 +589,4 @@
 pub const TIDY: Duration = Duration::from_millis(500);
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::discovery::Entry as Listed;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
-    use tokio::task::{spawn_local, LocalSet};
-
-    fn servers(sockets: usize) -> Rc<Servers> {
-        let figures = Figures {
-            dial_timeout: Duration::from_secs(20),
-            keepalive: Duration::from_secs(600),
-            drain_grace: Duration::from_millis(500),
-            open_cap: 10,
-            report: vec!["queue".into(), "util".into()],
-        };
-        Servers::new(figures, Budget::new(sockets), Memory::new(1 << 20), Counts::new(&[]))
-    }
-
-    fn list(addr: SocketAddr, state: ServerState, complete: bool) -> List {
-        let (id, zone, kind) = ("s-1".into(), "a".into(), "m1".into());
-        let entry = Listed { id, addr, zone, kind, cell: 0, state, size: 1.0, up_since_ms: 0 };
-        List { revision: None, complete, entries: vec![entry] }
-    }
-
-    fn call() -> Call {
-        let (headers, body) = (HeaderMap::new(), Payload::Whole(Kept::from("")));
-        Call { method: Method::POST, target: Uri::from_static("/api"), headers, body, client: Client::node() }
-    }
-
-    /// A server that answers each request with its name, and none that asks for `/slow` or if the name
-    /// is empty.
-    async fn named(name: &'static str) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = listener.local_addr().unwrap();
-        spawn_local(async move {
-            loop {
-                let (mut stream, _) = listener.accept().await.unwrap();
-                spawn_local(async move {
-                    let mut buffer = [0; 4096];
-                    while stream.read(&mut buffer).await.is_ok_and(|n| n > 0) {
-                        let length = name.len();
-                        let reply = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{name}");
-                        let answers = !name.is_empty() && !buffer.starts_with(b"POST /slow");
-                        if answers && stream.write_all(reply.as_bytes()).await.is_err() {
-                            return;
-                        }
-                    }
-                });
-            }
-        });
-        addr
-    }
-
-    fn soon() -> Option<Instant> {
-        Some(Instant::now() + Duration::from_secs(20))
-    }
-
-    /// The whole body of an answer.
-    fn text(ended: Ended) -> String {
-        match ended.answer.expect("an answer").1 {
-            Reply::Whole(kept) => String::from_utf8(kept.bytes.to_vec()).unwrap(),
-            Reply::Passing(_) => panic!("not whole"),
-        }
-    }
-
-    // A server that left the list and came back elsewhere must not be served by a connection from
-    // before, which leads to another process.
-    #[tokio::test]
-    async fn connections_from_before_a_return_are_not_used() {
-        let run = async {
-            let servers = servers(8);
-            let (old, new) = (named("old").await, named("new").await);
-            let (_, members) = servers.apply(&list(old, ServerState::InService, true), false);
-            let server = members[0].server;
-            assert_eq!(text(servers.attempt(server, &call(), soon()).await), "old");
-            tokio::time::sleep(REST).await;
-            let link = servers.idle_link(server).expect("kept");
-            servers.apply(&list(old, ServerState::Terminated, false), false);
-            assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::ConnectFailed);
-            servers.apply(&list(new, ServerState::InService, false), false);
-            servers.keep(server, link);
-            assert_eq!(text(servers.attempt(server, &call(), soon()).await), "new");
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    // A second answer that is still on its way would be taken for that of the next request.
-    #[tokio::test]
-    async fn a_connection_rests_after_its_answer() {
-        let run = async {
-            let servers = servers(8);
-            let addr = named("x").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
-            let (_, epoch) = servers.address(server).unwrap();
-            let link = servers.dial(addr, epoch).await.unwrap();
-            tokio::time::pause();
-            servers.keep(server, link);
-            assert!(servers.idle_link(server).is_none(), "just answered");
-            tokio::time::advance(REST).await;
-            let (link, again) = (servers.idle_link(server), servers.idle_link(server));
-            assert!(link.is_some() && again.is_none(), "rested");
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    // A machine that vanished is silent on open connections: after a time-out the idle ones must go.
-    #[tokio::test]
-    async fn a_timeout_closes_idle_connections() {
-        let run = async {
-            let servers = servers(8);
-            let addr = named("").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
-            let (_, epoch) = servers.address(server).unwrap();
-            for _ in 0..2 {
-                let link = servers.dial(addr, epoch).await.unwrap();
-                servers.keep(server, link);
-            }
-            let until = Some(Instant::now() + Duration::from_millis(50));
-            assert_eq!(servers.attempt(server, &call(), until).await.outcome, Outcome::Timeout);
-            assert!(servers.idle_link(server).is_none());
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    // New connections cost a server work: one that answers others meanwhile is slow, not gone.
-    #[tokio::test]
-    async fn a_timeout_keeps_the_connections_of_a_server_that_answers_others() {
-        let run = async {
-            let servers = servers(8);
-            let addr = named("x").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
-            let slow = Call { target: Uri::from_static("/slow"), ..call() };
-            let (call, until) = (call(), Some(Instant::now() + Duration::from_millis(200)));
-            let (slow, quick) =
-                tokio::join!(servers.attempt(server, &slow, until), servers.attempt(server, &call, soon()));
-            assert_eq!((slow.outcome, quick.outcome), (Outcome::Timeout, Outcome::Ok));
-            assert!(servers.idle_link(server).is_some());
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    // A request whose last byte was not written has not run: even an unsafe one goes out again.
-    #[tokio::test]
-    async fn a_request_that_cannot_be_written_was_not_sent() {
-        let run = async {
-            let servers = servers(8);
-            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-            let addr = listener.local_addr().unwrap();
-            let mut link = servers.dial(addr, 0).await.unwrap();
-            // Reset before the connection's task has had a turn to notice it.
-            let (stream, _) = listener.accept().unwrap();
-            stream.set_nonblocking(true).unwrap();
-            let stream = TcpStream::from_std(stream).unwrap();
-            stream.set_zero_linger().unwrap();
-            drop(stream);
-            let exchange = exchange(&mut link, &call(), addr, soon(), &servers.memory).await;
-            assert!(matches!(exchange, Exchange::Unsent));
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    // What is written to a connection that its server has closed is lost, and an unsafe request with it:
-    // a close that has come must be read first, even if nothing has run since.
-    #[tokio::test]
-    async fn a_close_that_has_not_been_read_yet_is_heeded() {
-        use std::io::{Read, Write};
-        let run = async {
-            let servers = servers(8);
-            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-            let addr = listener.local_addr().unwrap();
-            let (closed, told) = std::sync::mpsc::channel();
-            std::thread::spawn(move || {
-                for stream in listener.incoming().take(2) {
-                    let mut stream = stream.unwrap();
-                    let _ = stream.read(&mut [0; 4096]);
-                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").unwrap();
-                    std::thread::sleep(Duration::from_millis(50));
-                    drop(stream);
-                    closed.send(()).unwrap();
-                }
-            });
-            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
-            assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::Ok);
-            // Blocks the runtime, so that the close is there and unread.
-            told.recv().unwrap();
-            assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::Ok);
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    // Rule 3: what waited for its connection must not be written once the server drains for long.
-    #[tokio::test]
-    async fn nothing_is_written_to_a_server_that_drains_for_long() {
-        let run = async {
-            let servers = servers(8);
-            let addr = named("x").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
-            servers.apply(&list(addr, ServerState::Terminating, false), false);
-            tokio::time::pause();
-            tokio::time::advance(Duration::from_millis(400)).await;
-            let ended = servers.attempt(server, &call(), soon()).await;
-            assert_eq!(ended.outcome, Outcome::ConnectFailed);
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    // Sockets are spent on requests before idle connections.
-    #[tokio::test]
-    async fn idle_connections_make_room() {
-        let run = async {
-            let servers = servers(1);
-            let addr = named("x").await;
-            let server = servers.apply(&list(addr, ServerState::InService, true), false).1[0].server;
-            assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::Ok);
-            let permit = servers.permit().await;
-            assert!(permit.is_some());
-            assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::ConnectFailed);
-        };
-        LocalSet::new().run_until(run).await;
-    }
-
-    #[test]
-    fn only_the_header_proves_that_a_request_was_turned_away() {
-        let mut headers = HeaderMap::new();
-        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &headers), Outcome::Error);
-        headers.insert("x-turned-away", HeaderValue::from_static("1"));
-        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &headers), Outcome::Full);
-        assert_eq!(outcome(StatusCode::GATEWAY_TIMEOUT, &headers), Outcome::Full);
-        assert_eq!(outcome(StatusCode::INTERNAL_SERVER_ERROR, &headers), Outcome::Error);
-        assert_eq!(outcome(StatusCode::OK, &headers), Outcome::Ok);
-    }
-}
+mod tests;
--- a/src/bin/woodgap/stream.rs
+++ b/src/bin/woodgap/stream.rs
@@ -1,6 +1,6 @@
 //! A server's socket that tells how far the request at hand has gone out.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -10,10 +10,13 @@
 use tokio::net::TcpStream;
 
 use crate::counts::Counts;
+use crate::presence::Client;
 
 /// How far the request at hand has gone out. Each connection carries one at a time.
 #[derive(Default)]
 pub struct Progress {
+    /// For whom it is sent: nobody once its first byte was written, as it has begun then.
+    client: RefCell<Option<Client>>,
     /// Its last part was handed to the connection.
     handed: Cell<bool>,
     /// Its last byte was written: before that it can't have run.
@@ -23,9 +26,10 @@
 }
 
 impl Progress {
-    /// Another request begins.
-    pub fn begin(&self, probe: bool) {
-        self.probe.set(probe);
+    /// Another request begins, for this client.
+    pub fn begin(&self, client: &Client) {
+        self.client.replace(Some(client.clone()));
+        self.probe.set(client.is_node());
         self.handed.set(false);
         self.whole.set(false);
     }
@@ -50,6 +54,22 @@
     pub fn new(socket: TcpStream, progress: Rc<Progress>, counts: Rc<Counts>) -> Self {
         Stream { socket, progress, counts }
     }
+
+    /// Writes for a client that is there. The last look at it is this one: from here to the system's own
+    /// write nothing waits.
+    fn write(
+        &mut self,
+        write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if self.progress.client.borrow().as_ref().is_some_and(Client::is_gone) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        let written = write(Pin::new(&mut self.socket));
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.progress.client.take();
+        }
+        written
+    }
 }
 
 impl AsyncRead for Stream {
@@ -64,7 +84,7 @@
 
 impl AsyncWrite for Stream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, data)
+        self.write(|socket| socket.poll_write(cx, data))
     }
 
     fn poll_write_vectored(
@@ -72,7 +92,7 @@
         cx: &mut Context<'_>,
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(cx, data)
+        self.write(|socket| socket.poll_write_vectored(cx, data))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -82,7 +102,7 @@
     /// The connection flushes once it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.socket).poll_flush(cx);
-        let Progress { handed, whole, probe } = &*self.progress;
+        let Progress { handed, whole, probe, .. } = &*self.progress;
         if matches!(flushed, Poll::Ready(Ok(()))) && handed.get() && !whole.replace(true) && !probe.get() {
             self.counts.forwards.add();
         }
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -165,6 +165,9 @@
         let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
         listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
         listener.listen(0).unwrap();
+        // Connections tell when what they read had come, to those that ask.
+        nix::sys::socket::setsockopt(&listener, nix::sys::socket::sockopt::ReceiveTimestampns, &true)
+            .unwrap();
         let addr = listener.local_addr().unwrap().as_socket().unwrap();
         let mut fillers = Vec::new();
         while let Ok(filler) = TcpStream::connect_timeout(&addr, Duration::from_millis(300)) {
@@ -184,7 +187,8 @@
     /// Lets them come up and hands on those that do.
     pub fn open(self) -> Receiver<TcpStream> {
         let Late { listener, fillers, .. } = self;
-        listener.listen(64).unwrap();
+        // All that knock come up at once: one that is turned back here would write, and be read, much later.
+        listener.listen(1024).unwrap();
         let listener = TcpListener::from(listener);
         for _ in &fillers {
             drop(listener.accept().unwrap());
--- /dev/null
+++ b/tests/node/gone.rs
@@ -0,0 +1,342 @@
+//! No attempt, first or further, begins more than 0.1 s after its client left, as the client counts: from its
+//! close, reset or end of sending to the first byte that a server of the test's own gets of any attempt for it.
+//! Floods of 500 leavings cross what lets the node go on: a place, a dial, an outcome, a time-out, a drain.
+
+use std::collections::HashMap;
+use std::io::IoSliceMut;
+use std::os::fd::AsRawFd;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::PoisonError;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use nix::sys::signal::{kill, Signal};
+use nix::sys::socket::{recvmsg, setsockopt, sockopt, ControlMessageOwned, MsgFlags};
+use nix::unistd::Pid;
+
+use super::leaving::{Goes, WAYS};
+use super::*;
+
+/// An attempt that begins this long after its client left is one too many.
+const LATEST: Duration = Duration::from_millis(100);
+/// Clients that leave at once.
+const FLOOD: usize = 500;
+/// Servers of a flood: one address under many names, so that what the module allows each is enough for all.
+const SERVERS: usize = 100;
+
+/// An attempt that came: whose, and when its first byte did, whenever the test's own thread got to it.
+struct Begun {
+    txn: String,
+    at: SystemTime,
+}
+
+/// A connection whose reads tell when what they read had come.
+struct Stamped<'a> {
+    stream: &'a TcpStream,
+    came: SystemTime,
+}
+
+impl Read for Stamped<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        let mut space = nix::cmsg_space!(nix::sys::time::TimeSpec);
+        let mut parts = [IoSliceMut::new(buffer)];
+        let read = recvmsg::<()>(self.stream.as_raw_fd(), &mut parts, Some(&mut space), MsgFlags::empty())?;
+        for stamp in read.cmsgs()? {
+            if let ControlMessageOwned::ScmTimestampns(at) = stamp {
+                self.came = UNIX_EPOCH + Duration::from(at);
+            }
+        }
+        Ok(read.bytes)
+    }
+}
+
+/// What the servers of a test do with what they hold.
+#[derive(Clone, Copy, PartialEq)]
+enum Does {
+    Hold,
+    /// Turn away unseen what came while they held, so that it is sent again at once; hold what comes now.
+    TurnHeldAway,
+    /// Serve what came while they held; hold what comes now.
+    ServeHeld,
+    Serve,
+}
+
+/// Servers that note when each attempt began.
+struct Servers {
+    addr: SocketAddr,
+    does: Arc<Mutex<Does>>,
+    begun: Receiver<Begun>,
+}
+
+impl Servers {
+    fn at(listener: TcpListener) -> Servers {
+        setsockopt(&listener, sockopt::ReceiveTimestampns, &true).unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (connections, taken) = channel();
+        thread::spawn(move || {
+            listener
+                .incoming()
+                .flatten()
+                .take_while(|stream| connections.send(stream.try_clone().unwrap()).is_ok())
+                .for_each(drop)
+        });
+        Servers::of(addr, taken)
+    }
+
+    fn of(addr: SocketAddr, connections: Receiver<TcpStream>) -> Servers {
+        let does = Arc::new(Mutex::new(Does::Hold));
+        let (begins, begun) = channel();
+        let told = does.clone();
+        thread::spawn(move || {
+            for stream in connections {
+                let (does, begins) = (told.clone(), begins.clone());
+                thread::spawn(move || serve(&stream, &does, &begins));
+            }
+        });
+        Servers { addr, does, begun }
+    }
+
+    fn all_do(&self, what: Does) {
+        *self.does.lock().unwrap() = what;
+    }
+}
+
+fn serve(stream: &TcpStream, does: &Mutex<Does>, begins: &Sender<Begun>) {
+    stream.set_read_timeout(None).unwrap();
+    let mut input = BufReader::new(Stamped { stream, came: UNIX_EPOCH });
+    while input.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
+        let at = input.get_ref().came;
+        assert_ne!(at, UNIX_EPOCH, "the system tells when it came");
+        let Some(request) = Message::read(&mut input) else { return };
+        let held = *does.lock().unwrap() == Does::Hold;
+        let txn = request.header("x-txn").to_owned();
+        let _ = begins.send(Begun { txn: txn.clone(), at });
+        stream.set_read_timeout(Some(Duration::from_millis(2))).unwrap();
+        let answer = loop {
+            let now = *does.lock().unwrap();
+            match now {
+                Does::TurnHeldAway if held => {
+                    break "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+                }
+                Does::ServeHeld if !held => {}
+                Does::Serve | Does::ServeHeld => {
+                    break format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{txn}", txn.len())
+                }
+                _ => {}
+            }
+            // Closed meanwhile, it was given up.
+            match input.fill_buf() {
+                Ok([]) => return,
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => return,
+                _ => {}
+            }
+        };
+        stream.set_read_timeout(None).unwrap();
+        if (&mut &*stream).write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// Threads that take all cores until this is dropped.
+struct Busy(Arc<AtomicBool>, Vec<thread::JoinHandle<()>>);
+
+impl Busy {
+    fn cores(busy: bool) -> Busy {
+        let on = Arc::new(AtomicBool::new(true));
+        let cores = if busy { thread::available_parallelism().unwrap().get() } else { 0 };
+        let spin = |on: Arc<AtomicBool>| {
+            // Bounded, whatever becomes of the test.
+            let end = Instant::now() + 2 * PATIENCE;
+            thread::spawn(move || while on.load(Ordering::Relaxed) && Instant::now() < end {})
+        };
+        Busy(on.clone(), (0..cores).map(|_| spin(on.clone())).collect())
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
+        self.1.drain(..).for_each(|thread| thread.join().unwrap());
+    }
+}
+
+/// Where the requests of a flood wait when their clients leave.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Moment {
+    /// For the turn that another request of their key has.
+    Place,
+    Dial,
+    /// For what follows an attempt that was turned away.
+    Resend,
+    /// For the time-out of a server that hangs.
+    TimeOut,
+    /// As at a resend, in a node that was told to end.
+    Drain,
+}
+
+fn site(addr: SocketAddr, moment: Moment) -> Site {
+    Site::shaped(0, &[("BALANCER_OPERATOR", "127.0.0.1:0")], |config| {
+        config["limits"] = json!({"sockets": 4000});
+        config["settings"]["bounds"]["dial-timeout"] = json!(60_000_000);
+        if moment == Moment::TimeOut {
+            config["settings"]["classes"][0]["aim"] = json!(4_000_000);
+        }
+        let member = |n: usize| listed(&format!("s-{n}"), addr);
+        if moment == Moment::Place {
+            config["settings"]["classes"][1]["serial-by-key"] = json!(true);
+            config["settings"]["classes"][1]["aim"] = json!(60_000_000);
+        }
+        config["known"]["members"] = (0..SERVERS).map(member).collect();
+    })
+}
+
+/// What was seen of a flood: how many of its requests waited with the node, and for each attempt how long after
+/// the leaving of its client it began, nothing for those that began before.
+struct Flood {
+    waited: usize,
+    began: Vec<Duration>,
+}
+
+/// A flood of requests that wait at this moment: their clients leave at once, just as what they wait for comes.
+/// `stalls`: the node gets no core from the first sign of that until its clients have been away for longer than
+/// an attempt may take to begin.
+fn flood(moment: Moment, goes: Goes, busy: bool, stalls: bool) -> Flood {
+    let mut late = (moment == Moment::Dial).then(Late::new);
+    let mut servers = late.is_none().then(|| Servers::at(TcpListener::bind("127.0.0.1:0").unwrap()));
+    let addr = servers.as_ref().map_or_else(|| late.as_ref().unwrap().addr, |servers| servers.addr);
+    let mut site = site(addr, moment);
+    let class = if moment == Moment::Place { "pay" } else { "look" };
+    let sent = (0..FLOOD).map(|n| {
+        let mut client = site.dial();
+        // Two of each key, of which one waits where they go one after the other.
+        let text = String::from_utf8(request(class, &n.to_string(), 60_000)).unwrap();
+        client.write_all(text.replace("key=7f3a", &format!("key={}", n / 2)).as_bytes()).unwrap();
+        client
+    });
+    let sent: Vec<TcpStream> = sent.collect();
+    let refused = format!("svc_declined_total{{service=\"{class}\"}}");
+    let settled = || site.figure("svc_outstanding") + site.figure(&refused);
+    until("all are held or refused", || settled() == FLOOD as u64);
+    let waited = site.figure("svc_outstanding") as usize;
+    let cores = Busy::cores(busy);
+    match (moment, &servers) {
+        (Moment::Dial, _) => {
+            // The dials that wait come up with their next knock, all within some milliseconds.
+            let connections = late.take().unwrap().open();
+            let first = connections.recv_timeout(PATIENCE).unwrap();
+            if stalls {
+                stop(&site);
+            }
+            let (tx, taken) = channel();
+            tx.send(first).unwrap();
+            thread::spawn(move || connections.into_iter().try_for_each(|next| tx.send(next)));
+            servers = Some(Servers::of(addr, taken));
+        }
+        (_, Some(servers)) => {
+            servers.begun.try_iter().for_each(drop);
+            if moment == Moment::Drain {
+                site.signal("-TERM");
+            }
+            match moment {
+                Moment::Place => servers.all_do(Does::ServeHeld),
+                Moment::TimeOut => {}
+                _ => servers.all_do(Does::TurnHeldAway),
+            }
+            // The first that goes on.
+            servers.begun.recv_timeout(PATIENCE).expect("an attempt");
+            if stalls {
+                stop(&site);
+            }
+        }
+        _ => unreachable!(),
+    }
+    let servers = servers.unwrap();
+    let mut left = HashMap::new();
+    let mut kept = Vec::new();
+    for (n, client) in sent.into_iter().enumerate() {
+        left.insert(n.to_string(), SystemTime::now());
+        kept.extend(goes.go(client));
+    }
+    if stalls {
+        thread::sleep(LATEST + LATEST / 2);
+        send(&site, Signal::SIGCONT);
+    }
+    if moment == Moment::Drain {
+        servers.all_do(Does::Serve);
+        assert!(site.node.wait().unwrap().success());
+    } else {
+        until("all that left is known", || site.figure("svc_outstanding") == 0);
+        servers.all_do(Does::Serve);
+        until("those that stay are served", || site.ask("look", "last").status() == 200);
+    }
+    drop(cores);
+    drop(site);
+    let after = |begun: Begun| Some(begun.at.duration_since(*left.get(&begun.txn)?).unwrap_or_default());
+    Flood { waited, began: servers.begun.try_iter().filter_map(after).collect() }
+}
+
+fn send(site: &Site, signal: Signal) {
+    kill(Pid::from_raw(site.node.id() as i32), signal).unwrap();
+}
+
+/// Takes the node off its core.
+fn stop(site: &Site) {
+    send(site, Signal::SIGSTOP);
+    let stat = format!("/proc/{}/stat", site.node.id());
+    until("it stands", || std::fs::read_to_string(&stat).unwrap().contains(") T "));
+}
+
+/// Floods share the machine one at a time.
+static ONE: Mutex<()> = Mutex::new(());
+
+/// Floods of each way to leave, with the figures: once each where the cores are busy and where the node stalls, or
+/// as many times as `GONE_PLAYS` says, and where nothing disturbs it too.
+fn no_attempt_begins_late(moment: Moment) {
+    let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let plays = std::env::var("GONE_PLAYS").ok().map(|plays| plays.parse::<usize>().unwrap());
+    let kinds = [("quiet", false, false), ("busy cores", true, false), ("the node stalls", false, true)];
+    for (kind, busy, stalls) in kinds.into_iter().skip(usize::from(plays.is_none())) {
+        let (mut left, mut late) = (0, Vec::new());
+        for goes in (0..plays.unwrap_or(1)).flat_map(|_| WAYS) {
+            let Flood { waited, began } = flood(moment, goes, busy, stalls);
+            assert!(waited >= FLOOD / 2, "{moment:?}: {waited} waited");
+            left += waited;
+            late.extend(began.into_iter().filter(|late| !late.is_zero()));
+        }
+        late.sort();
+        // Of all that waited and left: for most of them nothing began any more.
+        let p99 = late.len().checked_sub(left / 100 + 1).map_or(Duration::ZERO, |at| late[at]);
+        let most = late.last().copied().unwrap_or_default();
+        println!(
+            "{moment:?}, {kind}: {left} left, attempts after {}, p99 {p99:?}, most {most:?}",
+            late.len()
+        );
+        assert!(most <= LATEST, "{moment:?}, {kind}: {most:?} after its client left");
+    }
+}
+
+#[test]
+fn no_attempt_begins_late_for_clients_that_leave_as_their_turn_comes() {
+    no_attempt_begins_late(Moment::Place);
+}
+
+#[test]
+fn no_attempt_begins_late_for_clients_that_leave_as_a_dial_comes_up() {
+    no_attempt_begins_late(Moment::Dial);
+}
+
+#[test]
+fn no_attempt_begins_late_for_clients_that_leave_as_an_attempt_is_turned_away() {
+    no_attempt_begins_late(Moment::Resend);
+}
+
+#[test]
+fn no_attempt_begins_late_for_clients_that_leave_as_a_hung_server_times_out() {
+    no_attempt_begins_late(Moment::TimeOut);
+}
+
+#[test]
+fn no_attempt_begins_late_for_clients_that_leave_during_a_drain() {
+    no_attempt_begins_late(Moment::Drain);
+}
--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -7,17 +7,17 @@
 
 /// How a client goes.
 #[derive(Clone, Copy, Debug)]
-enum Goes {
+pub(super) enum Goes {
     Fin,
     Reset,
     HalfClose,
 }
 
-const WAYS: [Goes; 3] = [Goes::Fin, Goes::Reset, Goes::HalfClose];
+pub(super) const WAYS: [Goes; 3] = [Goes::Fin, Goes::Reset, Goes::HalfClose];
 
 impl Goes {
     /// What has to be kept for as long as the test lasts.
-    fn go(self, client: TcpStream) -> Option<TcpStream> {
+    pub(super) fn go(self, client: TcpStream) -> Option<TcpStream> {
         match self {
             Goes::Fin => drop(client),
             Goes::Reset => {
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod bodies;
 mod clients;
 mod discovery;
+mod gone;
 mod leaving;
 mod links;
 mod operators;
