The referee names an attempt that begins after its client has left

Need: no attempt begins more than 0.1 s after its client closed its connection, 50 ms more on sockets. The referee is told when a client leaves and judges an attempt's first byte; both hosts tell it. broken-node breaks it and is named.

--- a/lab/src/bin/broken-node.rs
+++ b/lab/src/bin/broken-node.rs
@@ -103,6 +103,15 @@
         if self.fault == "unknown-request" {
             send(servers.first()?, forward(Some("0123456789abcdef"))).await;
         }
+        if self.fault == "sent-after-leaving" {
+            // Long after its client may have closed its connection, and whether or not it has.
+            let (late, server) = (forward(None), servers.first()?.clone());
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(900)).await;
+                send(&server, late).await;
+            });
+            std::future::pending::<()>().await;
+        }
         let (mut status, mut bytes) =
             send(servers.first()?, forward(None)).await.unwrap_or((502, Bytes::new()));
         match self.fault.as_str() {
--- a/lab/src/host/clients.rs
+++ b/lab/src/host/clients.rs
@@ -188,7 +188,7 @@
             let Ok(end) = timeout_at(ends, self.exchange(&mut link, &txn, ask, attempt)).await else {
                 let now = stage.now();
                 stage.referee(|referee| match ask.leaves {
-                    Some(_) => referee.left(&txn),
+                    Some(_) => referee.left(&txn, now),
                     None => referee.unanswered(&txn, now),
                 });
                 return Answer::Nothing;
--- a/lab/src/referee/mod.rs
+++ b/lab/src/referee/mod.rs
@@ -18,6 +18,9 @@
 pub const DRAIN_GRACE: Micros = 800_000;
 /// A request that has no answer this long after its time is lost (STANDING).
 pub const LOST_AFTER: Micros = 500_000;
+/// No attempt begins later than this after its client closed its connection: a tenth of a second, and on sockets
+/// 50 ms more (PROTOCOL).
+pub const GONE_AFTER: Micros = 150_000;
 /// What discovery has to tell counts as told after this, whether it arrived or not (PROTOCOL).
 pub const TOLD_ANYWAY: Micros = 6_000_000;
 /// A call to leave a server out binds after this at the latest (DAYS).
@@ -36,6 +39,8 @@
     repeats: Repeats,
     /// Its final answer, as the client saw it.
     answered: Option<Answer>,
+    /// When its client closed its connection, before it had an answer.
+    left: Option<Micros>,
     attempts: Vec<Attempt>,
 }
 
@@ -109,6 +114,7 @@
             until,
             repeats: ask.repeats,
             answered: None,
+            left: None,
             attempts: Vec::new(),
         };
         self.tries.insert(txn.to_owned(), record);
@@ -133,12 +139,17 @@
         let earlier = record.attempts.iter().find(|earlier| !earlier.never_ran);
         let twice = (record.repeats == Repeats::Unsafe).then_some(earlier).flatten();
         let twice = twice.map(|e| format!("sent to {} before, at {:.3} s", e.server, e.at as f64 / 1e6));
+        let after = record.left.map(|left| first.saturating_sub(left)).filter(|&after| after > GONE_AFTER);
         record.attempts.push(Attempt { server: server.to_owned(), at, never_ran: false, served: false });
         let number = record.attempts.len() - 1;
         if let Some(what) = twice {
             self.tally.duplicates += 1;
             self.breach(Rule::RunTwice, txn, Some(node), Some(server), at, what);
         }
+        if let Some(after) = after {
+            let what = format!("begun {:.0} ms after its client had left", ms(after));
+            self.breach(Rule::SentAfterLeaving, txn, Some(node), Some(server), first, what);
+        }
         Some(number)
     }
 
@@ -217,10 +228,11 @@
         }
     }
 
-    /// The client itself left before its time: nothing more is owed.
-    pub fn left(&mut self, txn: &str) {
+    /// The client itself left before its time, at `at`: nothing more is owed, and nothing more is begun.
+    pub fn left(&mut self, txn: &str, at: Micros) {
         self.tally.left += 1;
         if let Some(record) = self.tries.get_mut(txn) {
+            record.left = Some(at);
             record.answered = Some(Answer::Nothing);
         }
     }
--- a/lab/src/referee/rules.rs
+++ b/lab/src/referee/rules.rs
@@ -25,6 +25,8 @@
     SentToDraining,
     /// Nothing new to a server that operators left out.
     SentToWithheld,
+    /// No attempt begins once its client has been gone for longer than the limit.
+    SentAfterLeaving,
     /// No cold server pushed over by the nodes.
     ColdToppled,
     /// A node whose clients were sent away has let go of them in time.
@@ -43,6 +45,7 @@
             Rule::UnknownRequest => "unknown-request",
             Rule::SentToDraining => "sent-to-draining",
             Rule::SentToWithheld => "sent-to-withheld",
+            Rule::SentAfterLeaving => "sent-after-leaving",
             Rule::ColdToppled => "cold-toppled",
             Rule::NotDrained => "not-drained",
         }
--- a/lab/src/referee/tests.rs
+++ b/lab/src/referee/tests.rs
@@ -19,6 +19,7 @@
     Invents,
     SendsToDraining,
     SendsToWithheld,
+    SendsAfterLeaving,
     Topples,
 }
 
@@ -46,6 +47,9 @@
     let sent = if late { 2_100_000 } else { 1_700_000 };
     referee.asked(&ask);
     referee.taken("a1", &ask, 0, 3 * SECOND);
+    if node == Node::SendsAfterLeaving {
+        referee.left("a1", 1_900_000);
+    }
     let txn = if node == Node::Invents { "b2" } else { "a1" };
     if let Some(attempt) = referee.sent(Some(txn), 0, "s-1", sent, sent) {
         referee.ended(txn, attempt, node != Node::SendsTwice && node != Node::RefusesAfterRun, false);
@@ -62,6 +66,8 @@
             referee.ended("a1", second, true, false);
             referee.answered("a1", &ask, Answer::Served, 2_300_000, true);
         }
+        // Nothing more is owed.
+        Node::SendsAfterLeaving => {}
         Node::Invents => referee.answered("a1", &ask, Answer::Failed, 2_300_000, false),
         _ => referee.answered("a1", &ask, Answer::Served, 2_300_000, true),
     }
@@ -87,6 +93,7 @@
         (Node::Invents, Rule::UnknownRequest),
         (Node::SendsToDraining, Rule::SentToDraining),
         (Node::SendsToWithheld, Rule::SentToWithheld),
+        (Node::SendsAfterLeaving, Rule::SentAfterLeaving),
         (Node::Topples, Rule::ColdToppled),
     ];
     for (node, rule) in broken {
@@ -103,7 +110,7 @@
 
 #[test]
 fn what_is_inside_the_limits_breaks_nothing() {
-    for node in [Node::SendsToDraining, Node::SendsToWithheld, Node::Topples] {
+    for node in [Node::SendsToDraining, Node::SendsToWithheld, Node::SendsAfterLeaving, Node::Topples] {
         assert!(play(node, false).breaches().is_empty(), "{node:?}");
     }
     // A turned away attempt never ran: the next is no duplicate, and neither is a refusal.
--- a/lab/src/sim/run/tries.rs
+++ b/lab/src/sim/run/tries.rs
@@ -58,7 +58,7 @@
         let Some(held) = self.processes[process].held.get(&id).filter(|held| !held.answered) else { return };
         let (client, txn) = (held.client, held.txn.clone());
         if self.clients[client].ask().leaves.is_some() {
-            self.referee.left(&txn);
+            self.referee.left(&txn, self.now);
             self.processes[process].held.get_mut(&id).into_iter().for_each(|held| held.answered = true);
             self.deliver(process, Event::Lapsed(id));
             self.forget_if_done(process, id);
--- a/lab/tests/sockets.rs
+++ b/lab/tests/sockets.rs
@@ -42,6 +42,7 @@
 const DRAIN: &str = "[[trouble]]\nat_s = 0.5\nkind = \"replace\"\npart = 0.25\nstep_s = 0";
 const HAND: &str = "[[trouble]]\nat_s = 0.5\nkind = \"hand\"\npart = 0.5\nfor_s = 6";
 const STANDBY: &str = "[[trouble]]\nat_s = 0.5\nkind = \"drain\"\npart = 1\nfor_s = 6";
+const LEAVING: &str = "[clients]\nimpatient = 0.5";
 const COLD: &str = "[discovery]\nadd_s = 0\nnotice_s = 0\nperiod_ms = 20\nspread_ms = 1\n\
     [[trouble]]\nat_s = 0.5\nkind = \"restart\"\npart = 1\nfor_s = 0.2\n\
     [[trouble]]\nat_s = 0\nkind = \"burst\"\nfor_s = 8\nsize = 5";
@@ -65,6 +66,7 @@
         ("unknown-request", NONE, Rule::UnknownRequest),
         ("sent-to-draining", DRAIN, Rule::SentToDraining),
         ("sent-to-withheld", HAND, Rule::SentToWithheld),
+        ("sent-after-leaving", LEAVING, Rule::SentAfterLeaving),
         ("cold-toppled", COLD, Rule::ColdToppled),
         ("not-drained", STANDBY, Rule::NotDrained),
     ];
