--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -456,7 +456,14 @@
                 Ok(ready) => ready,
                 Err(outcome) => return outcome.into(),
             };
+            // The connection may yet serve another.
+            if call.client.is_gone() {
+                self.keep(server, link);
+                return Outcome::Moot.into();
+            }
             match exchange(&mut link, call, addr, until, &self.memory).await {
+                // Its client left between that look and the first byte.
+                Exchange::Unsent if call.client.is_gone() => return Outcome::Moot.into(),
                 // A new connection may break by chance; a second one that does tells of the server.
                 Exchange::Unsent if reused || !std::mem::replace(&mut redialled, true) => continue,
                 Exchange::Unsent => return Outcome::ConnectFailed.into(),
@@ -600,7 +607,7 @@
     until: Option<Instant>,
     memory: &Rc<Memory>,
 ) -> Exchange {
-    link.progress.begin(call.client.is_node());
+    link.progress.begin(&call.client);
     let request = request(call, addr, until, link.progress.clone());
     let response = match link.sender.try_send_request(request).await {
         Ok(response) => response,
--- a/src/bin/woodgap/servers/tests.rs
+++ b/src/bin/woodgap/servers/tests.rs
@@ -1,7 +1,10 @@
 //! Connections to servers, attempts and what the list does to both.
 
+use std::io::Read;
+
 use super::*;
 use crate::list::Entry as Listed;
+use crate::presence::Presence;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::{spawn_local, LocalSet};
@@ -252,3 +255,53 @@
     assert_eq!(after[1].state, ServerState::InService);
     assert_eq!(servers.listed(), 2);
 }
+
+// The runtime is told of a client's end at its next turn only, and a process may be kept from a core for long: what
+// is ready to be written by then is not, and the connection it had is there for another request.
+#[tokio::test]
+async fn nothing_is_written_for_a_client_whose_end_nobody_here_has_been_told_of() {
+    type Leaves = fn(&std::net::TcpStream);
+    let ways: [(&str, Leaves); 3] = [
+        ("end", |_| {}),
+        ("reset", |client| socket2::SockRef::from(client).set_linger(Some(Duration::ZERO)).unwrap()),
+        ("end of sending", |client| client.shutdown(std::net::Shutdown::Write).unwrap()),
+    ];
+    let run = async move {
+        for (way, leaves) in ways {
+            let servers = servers(8);
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let server_addr = listener.local_addr().unwrap();
+            let doors = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let client = std::net::TcpStream::connect(doors.local_addr().unwrap()).unwrap();
+            let accepted = doors.accept().unwrap().0;
+            accepted.set_nonblocking(true).unwrap();
+            let socket = Rc::new(TcpStream::from_std(accepted).unwrap());
+            let presence = Presence::new(&socket);
+            let called = || Call { client: presence.view(), ..call() };
+
+            let server = servers.apply(&list(server_addr, ServerState::InService, true), false).1[0].server;
+            let (_, epoch) = servers.address(server).unwrap();
+            let mut written = servers.dial(server_addr, epoch, Budget::new(1).take().unwrap()).await.unwrap();
+            let mut output = listener.accept().unwrap().0;
+            let idle = servers.dial(server_addr, epoch, Budget::new(1).take().unwrap()).await.unwrap();
+            servers.keep(server, idle);
+            tokio::time::sleep(REST).await;
+
+            leaves(&client);
+            let kept = (way == "end of sending").then_some(client);
+            let (call, memory) = (called(), servers.memory.clone());
+            // What is written gets no answer.
+            let written_to = exchange(&mut written, &call, server_addr, soon(), &memory);
+            let ended = tokio::time::timeout(Duration::from_secs(10), written_to).await;
+            assert!(matches!(ended, Ok(Exchange::Unsent)), "{way}: it was written");
+            drop(written);
+            tokio::task::yield_now().await;
+            assert_eq!(output.read(&mut [0; 1]).unwrap(), 0, "{way}: closed with nothing written");
+            assert_eq!(servers.attempt(server, &called(), soon()).await.outcome, Outcome::Moot, "{way}");
+            tokio::time::sleep(REST).await;
+            assert!(servers.idle_link(server).is_some(), "{way}: the connection is kept");
+            drop(kept);
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod descriptors;
 mod discovery;
+mod gone;
 mod leaving;
 mod links;
 mod lists;
