Lab: cold servers under the sum of a fleet, in virtual time; the module is told its number

Need: each node holds itself to its part of what a cold server bears; nothing showed what the sum of many nodes does. 'woodgap-lab cold' plays fleets of modules that share nothing (uneven traffic, servers and nodes started anew in steps, an old and a new process side by side, a rush, refused connections) and holds each window against N + 2 roots of N + 2 requests. The settings 'me' and 'rules.overload-for' (WIRE) are read; nothing uses them yet.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -50,6 +50,10 @@
     ///
     /// Exit code 1 where a play broke a property; its seed plays it again.
     Duties(Duties),
+    /// Hold what cold servers get from a whole fleet of nodes against what topples them, in virtual time
+    ///
+    /// Exit code 1 where one got more than N + 2 roots of N + 2 requests.
+    Cold(Cold),
     /// List the scenarios that ship, a line each
     Scenarios,
 }
@@ -204,6 +208,27 @@
     }
 }
 
+/// Which plays with cold servers.
+#[derive(Args, Debug)]
+pub struct Cold {
+    /// Fleet sizes
+    #[arg(long, value_delimiter = ',', default_value = "20,30,300", value_name = "N,..",
+        value_parser = clap::value_parser!(u64).range(2..=3_000))]
+    pub nodes: Vec<u64>,
+    /// The first seed
+    #[arg(long, default_value_t = 0, value_name = "SEED")]
+    pub from: u64,
+    /// Servers; by default 20 for less than 100 nodes, else one for ten nodes
+    #[arg(long, value_name = "N")]
+    pub servers: Option<usize>,
+    /// Only this story: start, rolling, rush, refusing, most or herd
+    #[arg(long, value_name = "NAME")]
+    pub story: Option<String>,
+    /// Plays of each story at each size
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=100_000))]
+    pub plays: u64,
+}
+
 /// Which plays of the duties.
 #[derive(Args, Debug)]
 pub struct Duties {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 pub mod bench;
+pub mod cold;
 pub mod experiment;
 pub mod host;
 pub mod outcome;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -18,7 +18,7 @@
 use woodgap_lab::sim::{self, SimPlan};
 use woodgap_lab::wire::{self, Child};
 
-use cli::{Bench, Cli, Command, Duties, Experiment, Plane, Replay, Report, Sim, Up};
+use cli::{Bench, Cli, Cold, Command, Duties, Experiment, Plane, Replay, Report, Sim, Up};
 
 /// A rule was broken or a node crashed.
 const BROKEN: u8 = 1;
@@ -43,6 +43,7 @@
         Command::Bench(bench) => compare_with(&bench),
         Command::Plane(plane) => measure_plane(&plane),
         Command::Duties(duties) => play_duties(&duties),
+        Command::Cold(cold) => play_cold(&cold),
         Command::Scenarios => scenarios(),
     };
     done.unwrap_or_else(|error| {
@@ -101,6 +102,21 @@
     Ok(ExitCode::from(if broken > 0 { BROKEN } else { 0 }))
 }
 
+fn play_cold(wanted: &Cold) -> Result<ExitCode, Box<dyn Error>> {
+    use woodgap_lab::cold::{self, Story};
+    let mut out = stdout().lock();
+    let mut toppled = 0;
+    for &nodes in &wanted.nodes {
+        for story in Story::ALL.into_iter().filter(|s| wanted.story.as_ref().is_none_or(|n| n == s.name())) {
+            let seeds = wanted.from..wanted.from.saturating_add(wanted.plays);
+            let figures = cold::plays(story, nodes as usize, wanted.servers, seeds);
+            toppled += figures.toppled;
+            writeln!(out, "{nodes:>5} nodes  {:<9} {}", story.name(), figures.line())?;
+        }
+    }
+    Ok(ExitCode::from(if toppled > 0 { BROKEN } else { 0 }))
+}
+
 /// Agents in virtual time, and calls, for the time until all have a server out.
 const OUT: (usize, usize) = (30, 200);
 
--- a/lab/src/sim/run/effects.rs
+++ b/lab/src/sim/run/effects.rs
@@ -116,9 +116,10 @@
         let seed = process_seed(self.plan.seed, node, self.starts[node]);
         let (revision, whole) = (self.world.registry().revision(node), self.world.registry().whole(node));
         let process = self.processes.len();
-        let policy = self.starter.start(self.settings.clone(), seed, process);
+        let settings = Settings { me: Some(node as u32), ..self.settings.clone() };
+        let policy = self.starter.start(settings.clone(), seed, process);
         if self.plan.record && process == 0 {
-            self.recorder = Some(Recorder::new(&self.settings, self.names.clone(), seed, CLOCK + self.now));
+            self.recorder = Some(Recorder::new(&settings, self.names.clone(), seed, CLOCK + self.now));
         }
         self.processes.push(Process::new(node, policy, revision));
         self.serving[node] = Some(process);
--- a/lab/src/terms.rs
+++ b/lab/src/terms.rs
@@ -42,6 +42,7 @@
         start_capacity: least(|kind| kind.cold_from.low),
         ramp_time: (most(|kind| kind.cold_s.high) * 1e6) as u64,
         fall_multiple: fleet.fall_multiple.0,
+        overload_for: fleet.fall_s.micros(),
         dial_timeout: DIAL_TIMEOUT,
         ..Settings::default()
     }
--- a/lab/src/wire/mod.rs
+++ b/lab/src/wire/mod.rs
@@ -68,7 +68,7 @@
          domain.warm-keys={} bounds.cancelling={} bounds.may-probe={} bounds.second-copies={} \
          bounds.max-attempts={} bounds.retry-after={} bounds.max-retry-after={} bounds.dial-timeout={} \
          deductions.handshake={} deductions.connection={} rules.start-capacity={} rules.ramp-time={} \
-         rules.fall-multiple={} rules.ask-within={} classes.count={}",
+         rules.fall-multiple={} rules.overload-for={} rules.ask-within={} classes.count={}",
         s.group_size,
         s.over_share_worth,
         s.warm_keys,
@@ -84,9 +84,13 @@
         s.start_capacity,
         s.ramp_time,
         s.fall_multiple,
+        s.overload_for,
         s.ask_within,
         s.classes.len(),
     );
+    if let Some(me) = s.me {
+        let _ = write!(line, " me={me}");
+    }
     for (i, (class, name)) in s.classes.iter().zip(names).enumerate() {
         let semantics = if class.semantics == Semantics::Safe { "safe" } else { "unsafe" };
         let _ = write!(
@@ -222,7 +226,7 @@
     #[test]
     fn the_settings_are_read_back_as_they_were() {
         let scenario = Scenario::find("big-bodies").unwrap();
-        let settings = crate::terms::settings(&scenario, 7);
+        let settings = Settings { me: Some(3), ..crate::terms::settings(&scenario, 7) };
         let names = scenario.class_names();
         let line = settings_line(&settings, &names);
         let (read, read_names) = parse(&Pairs::from_line(&line).unwrap()).unwrap();
--- a/src/api.rs
+++ b/src/api.rs
@@ -11,7 +11,7 @@
 pub type Micros = u64;
 
 /// A server, as discovery names it. Stable over restarts of its process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
 /// A request, opaque to the module. Shorter ids are padded by the host.
@@ -136,6 +136,8 @@
 pub struct Settings {
     /// How many nodes there are, this one included.
     pub group_size: u32,
+    /// This one's number among them, from 0, where the host tells it: the same after a restart.
+    pub me: Option<u32>,
     /// The classes of requests.
     pub classes: Vec<Class>,
     /// The tenants; may be empty.
@@ -172,6 +174,8 @@
     pub ramp_time: Micros,
     /// Sent more than this multiple of its present capacity, a cold server falls over.
     pub fall_multiple: f64,
+    /// So much in this time does it.
+    pub overload_for: Micros,
     /// A connection that takes longer is given up.
     pub dial_timeout: Micros,
     /// Longest time without a subscription and without asking for one.
@@ -186,6 +190,7 @@
     fn default() -> Self {
         Settings {
             group_size: 1,
+            me: None,
             classes: Vec::new(),
             tenants: Vec::new(),
             over_share_worth: 1.0,
@@ -204,6 +209,7 @@
             start_capacity: 1.0,
             ramp_time: 0,
             fall_multiple: 1.0,
+            overload_for: 3_000_000,
             dial_timeout: 0,
             ask_within: 10_000_000,
             settle_after_doubt: 0,
@@ -213,9 +219,10 @@
 }
 
 /// What discovery says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerState {
     /// Its process runs.
+    #[default]
     InService,
     /// It completes its work and takes nothing new.
     Terminating,
@@ -224,7 +231,7 @@
 }
 
 /// A server on a list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Member {
     /// Which server.
     pub server: ServerId,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -167,6 +167,7 @@
     let (tenants, tenant_names) = list(p, "tenants", tenant)?;
     let settings = Settings {
         group_size: p.whole("group-size", 1)?.clamp(1, 1 << 20) as u32,
+        me: p.text("me").map(|me| number(me, "me")).transpose()?,
         classes,
         tenants,
         over_share_worth: p.real("over-share-worth", 1.0)?,
@@ -196,6 +197,7 @@
         start_capacity: p.real("rules.start-capacity", 1.0)?,
         ramp_time: p.time("rules.ramp-time", 0)?,
         fall_multiple: p.real("rules.fall-multiple", 1.0)?,
+        overload_for: p.time("rules.overload-for", 3_000_000)?,
         dial_timeout: p.time("bounds.dial-timeout", 0)?,
         ask_within: p.time("rules.ask-within", 10_000_000)?,
         settle_after_doubt: p.time("rules.settle-after-doubt", 0)?,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -48,12 +48,13 @@
         }
         let [cancelling, probe, copies, after, warm, shed] = flags;
         let (group, attempts, dial, start, ramp, fall) = figures;
+        let (me, overload) = (group - 1, dial);
         let (handshake, connection, mode) = prices;
         line + &format!(
             " bounds.cancelling={cancelling} bounds.may-probe={probe} bounds.second-copies={copies} \
             bounds.retry-after={after} domain.warm-keys={warm} rules.may-shed-begun={shed} group-size={group} \
             bounds.max-attempts={attempts} bounds.dial-timeout={dial} rules.start-capacity={start} \
-            rules.ramp-time={ramp} rules.fall-multiple={fall} deductions.handshake={handshake} \
+            rules.ramp-time={ramp} rules.fall-multiple={fall} rules.overload-for={overload} me={me} deductions.handshake={handshake} \
             deductions.connection={connection} registry-mode={mode}"
         )
     })
@@ -104,6 +105,8 @@
         ("rules.ramp-time", "9000000000000000000"),
         ("rules.fall-multiple", "x"),
         ("rules.ask-within", "9000000000000000000"),
+        ("rules.overload-for", "9000000000000000000"),
+        ("me", "-1"),
         ("bounds.max-retry-after", "9000000000000000000"),
         ("rules.settle-after-doubt", "9000000000000000000"),
         ("tenants.0.quota-per-s", "x"),
