Hold the sum of a fleet to what a cold server bears, and use it: parts by phase that lapse

Seen: 300 nodes sent a cold server 300 requests in one moment, of 240 and 84 that it bears (tests/cold.rs). Now a node's first part comes by a phase from its number and the server's id and start, a process that starts takes for spent what fell due before, an attempt that is due lapses after half of the time that topples, goes with any request from a third of that on, and trials are within it too.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -219,10 +219,10 @@
     #[arg(long, default_value_t = 0, value_name = "SEED")]
     pub from: u64,
     /// Servers; by default 20 for less than 100 nodes, else one for ten nodes
-    #[arg(long, value_name = "N")]
-    pub servers: Option<usize>,
-    /// Only this story: start, rolling, rush, refusing, most or herd
-    #[arg(long, value_name = "NAME")]
+    #[arg(long, value_name = "N", value_parser = clap::value_parser!(u64).range(10..=20_000))]
+    pub servers: Option<u64>,
+    /// Only this story
+    #[arg(long, value_name = "NAME", value_parser = ["start", "rolling", "rush", "refusing", "most", "herd"])]
     pub story: Option<String>,
     /// Plays of each story at each size
     #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=100_000))]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,8 +1,8 @@
 //! The decisions. The interface (settings, events, actions) is `src/api.rs`.
 //!
-//! The ordinary path: a request's key picks a slot of the Maglev table, the slot's owner serves
-//! it. Every exception only ever makes a request walk on from its slot to the next owner that
-//! can carry it: see `Balancer::route`.
+//! The ordinary path: a request's key picks a slot of the Maglev table, the slot's owner serves it.
+//! Exceptions make a request walk on from its slot to the next owner that can carry it (see
+//! `Balancer::route`), or go with what is due to a cold server.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -13,10 +13,11 @@
 
 /// Slots of the table: a fixed prime, since a size that follows the fleet would move every key.
 pub const TABLE_SLOTS: usize = 16_381;
-/// Seeds of the table's two hashes and of the key hash. All nodes must agree on them.
+/// Seeds of the table's two hashes, the key hash and the nodes' order at a cold server, alike at all nodes.
 const OFFSET_SEED: u64 = 0x636f_7070_6572;
 const SKIP_SEED: u64 = 0x7461_636b;
 const KEY_SEED: u64 = 0x006b_6579;
+const PHASE_SEED: u64 = 0x7068_6173;
 /// The least part of a turn that a small server gets.
 const LEAST_TURN: f64 = 1.0 / 64.0;
 
@@ -98,11 +99,12 @@
 const RESERVE: f64 = 0.3;
 /// Spread of the limit over the keys: nodes refuse the same keys first, so the others stay remembered.
 const LEVELS: f64 = 0.5;
-/// A cold server may be sent this part of what topples it: it remembers no key yet.
+/// A cold server may be sent this part of what topples it: it remembers no key yet. An attempt that is due
+/// lapses after this part of the time that topples it, and from a third of that on goes with any request.
 const COLD_CARE: f64 = 0.45;
-/// One that answers within so many expected times can do more than its age tells: up to so much more.
-const COLD_QUICK: f64 = 1.2;
-const COLD_MOST: f64 = 1.8;
+const COLD_LAPSE: f64 = 0.5;
+/// A node counts its traffic for so long before it sends cold servers anything.
+const SETTLE: Micros = 1_000_000;
 /// A group up to this size always keeps its idle connections, and any group closes them while more
 /// than this part of the attempts get no connection: servers accept a limited number.
 const LINK_KEEPERS: u32 = 24;
@@ -117,9 +119,8 @@
 const TIMER_REST: u64 = 16;
 
 /// Builds the table over `(server, weight)` pairs, in any order; a slot holds its owner's position.
-/// Servers take turns in the order of their ids. A turn adds a server's size, as a part of the
-/// power of two above the largest, to its credit, and each whole credit claims a slot. The
-/// credit of one server does not depend on the others, so one change moves few slots.
+/// Servers take turns in the order of their ids. A turn adds a server's size, as a part of the power of two
+/// above the largest, to its credit, and each whole credit claims a slot: one change moves few slots.
 pub fn build_table(servers: &[(ServerId, f64)]) -> Vec<u32> {
     if servers.is_empty() {
         return Vec::new();
@@ -164,6 +165,7 @@
     f64::from((slot as u32).wrapping_mul(0x9E37_79B1)) / f64::from(u32::MAX)
 }
 
+#[derive(Default)]
 struct Server {
     member: Member,
     /// On the list and in service, and not taken out by operators.
@@ -182,9 +184,9 @@
     ban: Bar,
     /// The same by class, by errors: it may fail one and serve the others well.
     bars: Vec<Bar>,
-    /// While it is cold: attempts that this node may send it, and how many more than its age allows.
+    /// While it is cold: attempts that this node may send it, and when it last was less than one.
     budget: f64,
-    boost: f64,
+    spent_at: Micros,
 }
 
 /// Whether a server fails what it is sent.
@@ -306,8 +308,7 @@
 struct Mood {
     /// Part of the latest answers that came late or not at all.
     late: f64,
-    /// Part of the latest answers that took far longer than expected, wherever they came from, and
-    /// the fading counts of those and of all.
+    /// Part of the latest answers that took far longer than expected; the fading counts of those and all.
     strain: f64,
     strained: f64,
     measured: f64,
@@ -324,9 +325,9 @@
     flow: f64,
     /// Part of the fleet that is ejected.
     ejected: f64,
-    /// Sizes of the servers in use, by their warmth.
+    /// Sizes of the servers in use, the cold ones by what they are sent.
     able: f64,
-    /// Requests taken, attempts sent and attempts served: fading counts.
+    /// Requests taken, attempts sent and attempts served for a server of size 1: fading counts.
     taken: f64,
     sends: f64,
     served: f64,
@@ -339,6 +340,12 @@
     now: Micros,
     /// Time between two look-overs.
     sweep: Micros,
+    /// This node's place among all, in 0..1: the same after a restart.
+    place: f64,
+    /// When it knows its traffic; `None` from then on.
+    settles: Option<Micros>,
+    /// Cold servers that an attempt has been due for a while.
+    ripe: Vec<usize>,
     servers: Vec<Server>,
     index: HashMap<ServerId, usize>,
     /// Servers that operators have taken out, on the list or not.
@@ -372,10 +379,15 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let norm = |c: &Class| Norm { mean: c.aim as f64 / 4.0, cost: 0.0, answers: 0.0, rates: [0.0; 2] };
         let shortest = settings.classes.iter().map(|c| c.aim).min().unwrap_or(Micros::MAX);
+        let mut rng = Rng::with_seed(seed);
+        let place = settings.me.map(|me| f64::from(me) / f64::from(settings.group_size));
         Balancer {
+            place: place.unwrap_or_else(|| rng.f64()),
+            settles: Some(Micros::MAX),
+            ripe: Vec::new(),
             sweep: (shortest / SWEEPS_AN_AIM).clamp(SWEEP_LEAST, SWEEP),
             tenant_rates: vec![0.0; settings.tenants.len()],
-            rng: Rng::with_seed(seed),
+            rng,
             now: 0,
             servers: Vec::new(),
             index: HashMap::new(),
@@ -394,7 +406,7 @@
             hot: Vec::new(),
             window: 1.0,
             retries: RETRY_BURST,
-            mood: Mood { limit: f64::INFINITY, ..Mood::default() },
+            mood: Mood { limit: f64::INFINITY, able: f64::INFINITY, ..Mood::default() },
             subscribed: false,
             refusals: 0,
             settings,
@@ -470,9 +482,7 @@
                 }
             }
         }
-        for member in members {
-            self.on_member(member);
-        }
+        members.into_iter().for_each(|member| self.on_member(member));
         // One that restarted or went is no longer silent: nobody would ever try it again.
         let (index, servers) = (&self.index, &self.servers);
         let out = |id: &ServerId| {
@@ -488,8 +498,7 @@
         if unweighted || !member.size.is_finite() || member.size <= 0.0 {
             member.size = 1.0;
         }
-        // Nodes begin apart within their first attempt, or all would send it at once.
-        let budget = self.rng.f64();
+        let budget = self.phase(&member);
         let Some(&i) = self.index.get(&member.server) else {
             if listed {
                 self.stale_table = true;
@@ -512,27 +521,33 @@
     fn on_maintenance(&mut self, id: ServerId, out: bool) {
         let changed = if out { self.out.insert(id) } else { self.out.remove(&id) };
         let Some(&i) = self.index.get(&id).filter(|_| changed) else { return };
-        let (server, budget) = (&mut self.servers[i], self.rng.f64());
+        let budget = self.phase(&self.servers[i].member);
+        let server = &mut self.servers[i];
         server.restart(server.member.clone(), budget, self.now);
         (server.returned, server.ready) = (self.now, server.listed && !out);
         self.stale_table = true;
     }
 
+    /// The part of its first attempt that a node has at a server's start: evenly spread over the nodes.
+    fn phase(&self, member: &Member) -> f64 {
+        let start = (u64::from(member.server.0) ^ member.since.rotate_left(32)).to_le_bytes();
+        (self.place + xxh3_64_with_seed(&start, PHASE_SEED) as f64 / u64::MAX as f64).fract()
+    }
+
     /// Rebuilds the table, once for all changes since the last request.
     fn refresh_table(&mut self) {
         if !std::mem::take(&mut self.stale_table) {
             return;
         }
         self.servers.retain(|s| s.listed || s.inflight > 0);
+        self.ripe.clear();
         self.index = self.servers.iter().enumerate().map(|(i, s)| (s.member.server, i)).collect();
         let ready = self.servers.iter().enumerate().filter(|(_, s)| s.ready);
         let (places, pairs): (Vec<u32>, Vec<_>) =
             ready.map(|(i, s)| (i as u32, (s.member.server, s.member.size))).unzip();
         self.size_total = pairs.iter().map(|p| p.1).sum();
         self.table = build_table(&pairs);
-        for owner in &mut self.table {
-            *owner = places[*owner as usize];
-        }
+        self.table.iter_mut().for_each(|owner| *owner = places[*owner as usize]);
     }
 
     // Routing.
@@ -549,24 +564,26 @@
         start + (1.0 - start) * age as f64 / ramp as f64
     }
 
+    /// Whether it is cold and no attempt is due for it at this node.
+    fn spent(&self, server: &Server) -> bool {
+        (server.budget < 1.0 || self.settles.is_some()) && self.warmth(server) < 1.0
+    }
+
     /// The part of its slots that a server carries now.
     fn share(&self, server: &Server) -> f64 {
-        let spent = self.warmth(server) < 1.0 && server.budget < 1.0;
         let ejected = server.ban.until.is_some() && self.mood.ejected <= PANIC;
-        if spent || ejected || self.cut_off(server) {
+        if self.spent(server) || ejected || self.cut_off(server) {
             0.0
         } else {
             let pace = (self.quickest / self.pace(server)).powi(2).min(1.0);
             // One that is so slow comes to itself only if left alone, by all of its keys.
             let pace = if pace < LEAST_PACE { 0.0 } else { pace };
-            // The budget alone holds a cold server to its pace: with a share as low besides, a node that
-            // has few requests would hardly ever have one for it when it may send one.
+            // The budget alone holds a cold server to its pace: a share as low besides would starve it.
             server.share.min(pace)
         }
     }
 
-    /// Whether a server's zone is lost: several of it make no connection and none of it answers, while
-    /// other zones do. A node of many would take too long to find each of its servers dead.
+    /// Whether a server's zone is lost: several of it make no connection, none answers, and other zones do.
     fn cut_off(&self, server: &Server) -> bool {
         let lost = |zone| self.silent.get(zone).is_some_and(|silent| silent.len() >= ZONE_SILENT);
         lost(&server.member.zone) && self.silent.keys().any(|zone| !lost(zone))
@@ -585,8 +602,7 @@
         (norm.mean + more).max(norm.mean / 4.0).max(1.0)
     }
 
-    /// Counts how long an answer took against the expected time. What hangs tells of no other server,
-    /// and neither does a cold one: it takes as much longer as it has less of its capacity.
+    /// Counts an answer's time against the expected one. What hangs or is cold tells of no other server.
     fn take_pace(&mut self, i: usize, ratio: f64, hung: bool) {
         let warmth = self.warmth(&self.servers[i]);
         let server = &mut self.servers[i];
@@ -595,8 +611,7 @@
             self.kinds.entry(server.member.kind).or_default().add(ratio, 3.0 * PACE_MEMORY);
             self.mood.strained += f64::from(u8::from(ratio > STRAINED));
             self.mood.measured += 1.0;
-            let kinds = self.kinds.values().map(|kind| kind.mean(1.0));
-            self.quickest = kinds.fold(f64::INFINITY, f64::min);
+            self.quickest = self.kinds.values().map(|kind| kind.mean(1.0)).fold(f64::INFINITY, f64::min);
         }
     }
 
@@ -619,8 +634,7 @@
     /// Holds far more of this node's requests than its size explains.
     fn overfull(&self, server: &Server) -> bool {
         let mean = f64::from(self.inflight) / self.size_total * server.member.size;
-        let held = f64::from(server.inflight);
-        held > mean + OVERFLOW_MORE && held > OVERFLOW_MULTIPLE * mean
+        f64::from(server.inflight) > (mean + OVERFLOW_MORE).max(OVERFLOW_MULTIPLE * mean)
     }
 
     /// The walk. From the key's slot on, the first owner that carries the slot it is met on and is not
@@ -638,6 +652,15 @@
         let mut seen: Vec<u32> = Vec::with_capacity(8);
         let mut chosen: Vec<(usize, f64)> = Vec::new();
         let mut fallback = None;
+        // Its slots alone would leave most of what is due to lapse. A key that came lately stays where it is.
+        let free = |&&i: &&usize| {
+            let s = &self.servers[i];
+            self.share(s) >= FALLBACK_SHARE && s.bars[pending.class].until.is_none() && !self.overfull(s)
+        };
+        let fresh = pending.attempts.is_empty() && need <= 0.0;
+        if let Some(&i) = self.ripe.iter().find(free).filter(|_| fresh) {
+            return Some(i);
+        }
         let slots = if pending.attempts.is_empty() { WALK_SLOTS } else { TABLE_SLOTS };
         for step in 0..slots.min(self.table.len()) {
             let slot = (pending.slot + step) % TABLE_SLOTS;
@@ -659,7 +682,7 @@
                 continue;
             }
             let due = server.ban.until.is_some_and(|until| self.now >= until && !server.ban.trial);
-            if due && repeatable && !self.settings.may_probe && chosen.is_empty() {
+            if due && repeatable && !self.settings.may_probe && chosen.is_empty() && !self.spent(server) {
                 return Some(owner as usize);
             }
             let share = self.share(server);
@@ -720,40 +743,31 @@
     // Requests.
 
     fn on_request(&mut self, request: Request, out: &mut Vec<Action>) {
-        let id = request.id;
+        let Request { id, class: ClassId(class), cost, key, coming, .. } = request;
         if self.requests.contains_key(&id) {
             return;
         }
-        if request.class.0 >= self.settings.classes.len() {
+        if class >= self.settings.classes.len() {
             return out.push(Action::Refuse { id, retry_after: 0 });
         }
         self.mood.taken += 1.0;
-        if let Some(key) = request.key {
+        self.settles = self.settles.map(|at| at.min(self.now + SETTLE));
+        if let Some(key) = key {
             self.count_key(key);
         }
         self.retries = (self.retries + RETRY_RATIO).min(RETRY_BURST);
         let over = self.over_share(request.tenant);
-        self.norms[request.class.0].rates[usize::from(over)] += 1.0;
-        let slot = self.slot_of(request.key);
-        let ordered = request.key.filter(|_| self.settings.classes[request.class.0].in_order);
-        let (aim, deadline) = times(&self.settings.classes[request.class.0], self.now, request.patience);
-        let pending = Pending {
-            class: request.class.0,
-            cost: request.cost,
-            slot,
-            key: request.key,
-            ordered,
-            coming: request.coming,
-            aim,
-            deadline,
-            attempts: Vec::new(),
-            ended: false,
-        };
+        self.norms[class].rates[usize::from(over)] += 1.0;
+        let slot = self.slot_of(key);
+        let ordered = key.filter(|_| self.settings.classes[class].in_order);
+        let (aim, deadline) = times(&self.settings.classes[class], self.now, request.patience);
+        let (attempts, ended) = (Vec::new(), false);
+        let pending = Pending { class, cost, slot, key, ordered, coming, aim, deadline, attempts, ended };
         self.requests.insert(id, pending);
         if let Some(key) = ordered {
             self.turns.entry(key).or_default().queue.push_back(id);
         }
-        if self.shed_now(request.class.0, slot, over) {
+        if self.shed_now(class, slot, over) {
             self.conclude(id, out);
         } else {
             self.send_or_conclude(id, out);
@@ -813,8 +827,7 @@
     /// The final answer when nothing more is tried: a refusal where it is lawful.
     fn conclude(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if self.may_refuse(&self.requests[&id]) {
-            // Whom a refusal sends away comes back at once where nobody says when, and to no better place.
-            // Where a late answer earns nothing, a repeat comes too late to be worth anything.
+            // Who is not told when comes back at once. Where a late answer earns nothing, so does a repeat.
             let class = &self.settings.classes[self.requests[&id].class];
             let gone = class.late_share == 0.0 && self.settings.max_retry_after >= class.deadline;
             let advice =
@@ -846,9 +859,8 @@
         }
     }
 
-    // Order. Guards against two requests of an in-order key running together or out of turn. A
-    // key's turn is held until nothing of the request is out, so a silent server holds up its keys:
-    // what waits is refused while its client can still be served elsewhere.
+    // Order. Guards against two requests of an in-order key running together or out of turn. A key's turn
+    // is held until nothing of the request is out; what waits is refused while it can be served elsewhere.
 
     /// For a request that may not be sent yet: about how long, `None` for one that has the turn.
     fn wait_for_turn(&self, id: RequestId) -> Option<Micros> {
@@ -928,16 +940,10 @@
         // Resends inside a small cell would crowd the neighbours of a slow server.
         let semantics = self.settings.classes[pending.class].semantics;
         let narrow = matches!(semantics, Semantics::Unsafe | Semantics::Keyed { scope: KeyScope::Cell, .. });
-        if last || narrow || pending.coming {
-            return left;
-        }
         let late = (LATE * self.norms[pending.class].mean) as Micros;
         // A second attempt without time to be answered only wastes work.
-        if late * 2 > left {
-            left
-        } else {
-            late.max(1)
-        }
+        let whole = last || narrow || pending.coming || late * 2 > left;
+        [late.max(1), left][usize::from(whole)]
     }
 
     // Outcomes.
@@ -997,9 +1003,8 @@
         let full = closed.outcome == Outcome::Full || (closed.outcome == Outcome::ConnectFailed && crowded);
         let answered = closed.outcome == Outcome::Ok;
         let mut late = false;
-        // An attempt that timed out was at least as slow as that. Where its server leaves more of ours
-        // without a word since and few servers are out, that one hangs: no sign of more work than the
-        // others can do. A single attempt proves no such thing: a node may have no more out to any server.
+        // An attempt that timed out was at least as slow as that. Where its server leaves more of ours (not
+        // only this one) without a word since and few are out, it hangs: no sign of too much work for others.
         let timed_out = closed.outcome == Outcome::Timeout;
         let silent = crowded && server.quiet_since + closed.spent <= self.now;
         let hung = timed_out && silent && self.mood.ejected <= FEW_OUT;
@@ -1011,7 +1016,7 @@
             self.take_pace(i, (spent / expected).min(5.0), hung);
         }
         if answered {
-            self.mood.served += 1.0;
+            self.mood.served += 1.0 / self.mood.able.max(1.0);
             self.mood.answered += expected;
         }
         let server = &mut self.servers[i];
@@ -1029,9 +1034,8 @@
         if server.inflight == 0 && (many || self.mood.unlinked > LINKS_SHORT) {
             out.push(Action::CloseIdle(closed.server));
         }
-        // Errors, resets and time-outs are one kind of symptom. Where the whole fleet shows it, moving
-        // requests on helps nobody, so only what stands out is ejected. No connection to a server that
-        // holds nothing of ours is proof by itself; so is any failure of a trial.
+        // Errors, resets and time-outs are one kind of symptom: only what stands out of the fleet is ejected.
+        // No connection to a server that holds nothing of ours is proof by itself; so is a trial's failure.
         let failed = matches!(closed.outcome, Outcome::Error | Outcome::Reset | Outcome::Timeout);
         if failed || answered {
             let failed = f64::from(u8::from(failed));
@@ -1084,8 +1088,7 @@
 
     /// The end of a bar, which lasts twice as long each time.
     fn respite(&mut self, times: u32) -> Micros {
-        let span = self.paced((EJECTION << times.min(6)).min(EJECTION_LONGEST));
-        self.now + self.jitter(span)
+        self.now + self.jitter(self.paced((EJECTION << times.min(6)).min(EJECTION_LONGEST)))
     }
 
     fn on_probed(&mut self, id: ServerId, outcome: Outcome) {
@@ -1105,26 +1108,44 @@
         let slowest = self.norms.iter().map(|n| n.mean).fold(0.0, f64::max);
         let silence = ((SILENCE * slowest) as Micros).max(self.paced(SILENCE_LEAST));
         let (mut ejected, mut total, mut able) = (0.0, 0.0, 0.0);
-        let rate = self.mood.served / self.window / self.mood.able.max(1.0);
-        let pace = COLD_CARE * self.settings.fall_multiple * rate * self.sweep as f64 / 1e6;
-        let whole = self.mood.able / self.size_total.max(1.0);
+        let settles = self.settles.take_if(|at| self.now >= *at).is_some();
+        // Where most are cold, few warm ones serve all or none serves anything: what is asked for tells.
+        let asked = self.mood.taken / self.size_total.max(1.0);
+        let rate = self.mood.served.clamp(asked / 2.0, asked * 1.25)
+            / if settles { SETTLE as f64 / 1e6 } else { self.window };
+        let care = COLD_CARE * self.settings.fall_multiple;
+        let lapse = (COLD_LAPSE * self.settings.overload_for as f64 / self.sweep as f64).max(3.0);
+        self.ripe.clear();
         for i in 0..self.servers.len() {
             let server = &self.servers[i];
             if !server.ready {
                 continue;
             }
             let (size, warmth) = (server.member.size, self.warmth(server));
-            let quick = server.pace.count > 1.0 && self.pace(server) < COLD_QUICK * warmth;
-            let gain = pace * size * warmth * (server.boost * whole).max(1.0);
+            let bears = if warmth < 1.0 { (care * warmth).min(1.0) } else { 1.0 };
+            let full = care * rate * size * self.sweep as f64 / 1e6;
+            let due = full * warmth;
+            // A process that starts takes for spent what fell due since the server's start.
+            let age = self.now.saturating_sub(server.member.since.max(server.returned)) / self.sweep;
+            let past = full * age as f64 * (self.settings.start_capacity + warmth) / 2.0;
+            let first = if settles { (self.phase(&server.member) + past).fract() } else { 0.0 };
             total += size;
-            able += size * warmth * f64::from(u8::from(server.ban.until.is_none()));
+            able += size * bears * f64::from(u8::from(server.ban.until.is_none()));
             let quiet = server.inflight > 0 && self.now > server.quiet_since + silence;
             if quiet && server.ban.until.is_none() {
                 self.eject(i);
             }
             let server = &mut self.servers[i];
-            server.budget = (server.budget + gain).min(1.0 + gain);
-            server.boost = (server.boost * if quick { 1.025 } else { 0.9 }).clamp(1.0, COLD_MOST);
+            server.budget = if settles { first } else { server.budget + due };
+            let waited = (self.now - server.spent_at) as f64 / self.sweep as f64;
+            if server.budget < 1.0 {
+                server.spent_at = self.now;
+            } else if warmth < 1.0 && waited > lapse / 3.0 {
+                self.ripe.push(i);
+            }
+            if waited > lapse {
+                server.budget = server.budget.min((due * lapse).max(server.budget.fract()));
+            }
             match server.ban.until {
                 Some(until) => {
                     ejected += size;
@@ -1135,9 +1156,7 @@
                 }
                 None => {
                     server.share = (server.share + REGAIN).min(1.0);
-                    if server.share >= 1.0 {
-                        server.ban.times = 0;
-                    }
+                    server.ban.times *= u32::from(server.share < 1.0);
                 }
             }
         }
@@ -1174,9 +1193,7 @@
                 overdue.push((i, silent && self.mood.ejected <= FEW_OUT));
             }
         }
-        for &(i, hung) in &overdue {
-            self.take_pace(i, OVERDUE, hung);
-        }
+        overdue.into_iter().for_each(|(i, hung)| self.take_pace(i, OVERDUE, hung));
         if self.mood.strain > STRAIN {
             self.mood.limit = self.mood.limit.min((FLOW_ROOM * self.mood.flow).max(1.0));
         }
@@ -1213,12 +1230,9 @@
 
     /// Worth per unit of work, as far as a node can tell.
     fn value(&self, class: usize, over: bool) -> f64 {
-        let points = self.settings.classes[class].points;
-        let value = match self.settings.worth_by {
-            WorthBy::Work => points,
-            WorthBy::Request => points / self.norms[class].mean.max(1.0),
-        };
-        value * if over { self.settings.over_share_worth } else { 1.0 }
+        let work = self.settings.worth_by == WorthBy::Work;
+        let per = if work { 1.0 } else { self.norms[class].mean.max(1.0) };
+        self.settings.classes[class].points / per * if over { self.settings.over_share_worth } else { 1.0 }
     }
 
     /// Whether to refuse a new request: beyond the limit, by worth and by key.
@@ -1258,27 +1272,15 @@
 
 impl Server {
     fn new(member: Member, ready: bool, budget: f64, classes: usize) -> Self {
-        Server {
-            ready,
-            listed: true,
-            returned: 0,
-            member,
-            inflight: 0,
-            quiet_since: 0,
-            share: 1.0,
-            pace: Pace::default(),
-            ban: Bar::default(),
-            bars: vec![Bar::default(); classes],
-            budget,
-            boost: 1.0,
-        }
+        let bars = vec![Bar::default(); classes];
+        Server { ready, listed: true, member, share: 1.0, bars, budget, ..Server::default() }
     }
 
     /// A restarted process owes nothing to what the old one did.
     fn restart(&mut self, member: Member, budget: f64, now: Micros) {
         let Server { inflight, listed, returned, .. } = *self;
         let new = Server::new(member, false, budget, self.bars.len());
-        *self = Server { inflight, listed, returned, quiet_since: now, ..new };
+        *self = Server { inflight, listed, returned, quiet_since: now, spent_at: now, ..new };
     }
 
     /// Back from ejection, with few slots at first.
