--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -218,10 +218,10 @@
     /// Measure one role alone
     #[arg(long, value_name = "ROLE")]
     pub only: Option<Role>,
-    /// Where the results are written
-    #[arg(long, value_name = "FILE")]
-    pub json: PathBuf,
-    /// Measure nothing: write the tables of the results that are there into this page
+    /// Where the results are written; with --page, one or more files of earlier runs
+    #[arg(long, value_name = "FILE", required = true)]
+    pub json: Vec<PathBuf>,
+    /// Measure nothing: write the tables of the results in these files into this page
     #[arg(long, value_name = "PAGE", conflicts_with = "only")]
     pub page: Option<PathBuf>,
     /// Start this program as the node, rather than build and run what deploy/balancer.toml names
@@ -229,6 +229,16 @@
     pub node: Option<PathBuf>,
 }
 
+impl Scale {
+    /// The one file that a run writes.
+    pub fn output(&self) -> Result<&PathBuf, String> {
+        match &self.json[..] {
+            [file] => Ok(file),
+            _ => Err("--json: a run writes one file".into()),
+        }
+    }
+}
+
 /// Which plays of the duties.
 #[derive(Args, Debug)]
 pub struct Duties {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -352,7 +352,7 @@
 fn measure_scale(of: &Scale) -> Result<ExitCode, Box<dyn Error>> {
     if let Some(path) = &of.page {
         let page = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-        let page = scale::page::fill(&page, &Results::read(&of.json)?)?;
+        let page = scale::page::fill(&page, &Results::read_all(&of.json)?)?;
         std::fs::write(path, page).map_err(|error| format!("{}: {error}", path.display()))?;
         return Ok(ExitCode::SUCCESS);
     }
@@ -363,7 +363,8 @@
             return Err(format!("{}: no such program", program.display()).into());
         }
     }
-    open_json(Some(&of.json))?;
+    let json = of.output()?;
+    open_json(Some(json))?;
     let plan = scale::Plan { quick: of.quick, only: of.only, node, forwarder };
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     let bar = indicatif::ProgressBar::new_spinner();
@@ -371,7 +372,7 @@
     let results = runtime.block_on(scale::run(&plan, |step| bar.set_message(step.to_owned())));
     bar.finish_and_clear();
     let results = results?;
-    results.write(&of.json)?;
+    results.write(json)?;
     let mut out = stdout().lock();
     writeln!(
         out,
--- a/lab/src/scale/results.rs
+++ b/lab/src/scale/results.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Whether the other is the same role's figure of the same name.
+    fn is_of(&self, other: &Figure) -> bool {
+        (&self.role, &self.name) == (&other.role, &other.name)
+    }
+
     /// How far it is over its budget.
     pub fn over(&self) -> Option<Over> {
         let (value, budget) = self.at_target.zip(self.budget)?;
@@ -191,6 +196,28 @@
 }
 
 impl Results {
+    /// Reads several files, each of a run of other roles, as one: the first says when and where.
+    pub fn read_all(paths: &[impl AsRef<Path>]) -> Result<Results, String> {
+        let (first, more) = paths.split_first().ok_or("no results are named")?;
+        let mut all = Results::read(first.as_ref())?;
+        for path in more {
+            let other = Results::read(path.as_ref())?;
+            let twice =
+                other.figures.iter().find(|other| all.figures.iter().any(|figure| figure.is_of(other)));
+            if let Some(twice) = twice {
+                return Err(format!(
+                    "{}: {} {} is there already",
+                    path.as_ref().display(),
+                    twice.role,
+                    twice.name
+                ));
+            }
+            all.quick |= other.quick;
+            all.figures.extend(other.figures);
+        }
+        Ok(all)
+    }
+
     /// Reads a file.
     pub fn read(path: &Path) -> Result<Results, String> {
         let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
--- a/lab/src/scale/tests.rs
+++ b/lab/src/scale/tests.rs
@@ -133,3 +133,18 @@
         assert_eq!(page::number(value), text);
     }
 }
+
+#[test]
+fn results_of_several_runs_are_read_as_one_and_no_figure_twice() {
+    let folder = tempfile::tempdir().unwrap();
+    let (one, other) = (folder.path().join("one.json"), folder.path().join("other.json"));
+    let mut agent = results();
+    agent.figures.iter_mut().for_each(|figure| figure.role = "agent".into());
+    results().write(&one).unwrap();
+    agent.write(&other).unwrap();
+    let all = Results::read_all(&[&one, &other]).unwrap();
+    assert_eq!(all.figures.len(), results().figures.len() * 2);
+    assert_eq!(Results::read(&one).unwrap(), results(), "as it was written");
+    assert!(Results::read_all(&[&one, &one]).is_err_and(|why| why.contains("there already")));
+    assert!(Results::read_all(&[folder.path().join("none.json")]).is_err());
+}
