SIGHUP brings the whole settings into force, and a node holds 46,000 tenants

Need: of a configuration that replaces the first, a node took discovery's address alone; classes, tenants and figures waited for a restart, and a file of more than 10,000 tenants kept it from its start (src/settings.rs, list).

Change: settings::succeed puts the new settings in the place of the old: classes and tenants keep their places, since requests and what was learnt go by these; new ones follow, withdrawn ones are found no more. Event::Settings hands them to the module, which keeps all it knows. The node reads the file on a thread of its own, takes all of it or nothing, and tells the module before any request that goes by it. Names are looked up by a hash instead of a walk over all tenants. The watch goes on where discovery's address is the same.

Tests on real processes: classes and tenants that come, go and come back; a request that waits while its class is withdrawn; a shorter deadline; seven broken files; fifty changes under load; a stop with two changes, a cut from discovery, a kill; 46,000 tenants.

--- a/src/api.rs
+++ b/src/api.rs
@@ -74,7 +74,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns full worth.
     pub aim: Micros,
@@ -91,7 +91,7 @@
 }
 
 /// A tenant and its share.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second inside its share, over all nodes; 0 means no limit.
     pub quota_per_s: f64,
@@ -132,7 +132,7 @@
 }
 
 /// What a node is told at its start. Begin from [`Settings::default`] and set what is known.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// How many nodes there are, this one included.
     pub group_size: u32,
@@ -364,6 +364,9 @@
         /// Whether it is out from now on, whatever any list says.
         out: bool,
     },
+    /// Settings in place of those there are. Classes and tenants keep their places, new ones come after them; shorter
+    /// lists are ignored, as what is held goes by the places. What is known of servers and traffic stays.
+    Settings(Box<Settings>),
     /// A timer fell due.
     Timer(TimerId),
     /// A message from another node.
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -6,6 +6,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
@@ -18,8 +19,7 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use woodgap::settings::Names;
-use woodgap::{ClassId, Key, Semantics, Settings, TenantId};
+use woodgap::{ClassId, Key, Semantics, TenantId};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::body::{discard, Fault, Kept, Payload, Reply, Upload, LONGEST_BODY};
@@ -29,6 +29,7 @@
 use crate::horizon::Horizon;
 use crate::presence::Presence;
 use crate::servers::{Call, Servers};
+use crate::setup::Setup;
 use crate::task::{AbortOnDrop, Budget, Permit};
 
 /// Most bytes and fields of a request's head.
@@ -48,9 +49,7 @@
 
 /// What all client connections share.
 pub struct Clients {
-    settings: Settings,
-    names: Names,
-    open_cap: usize,
+    setup: RefCell<Arc<Setup>>,
     servers: Rc<Servers>,
     /// Sockets of clients, of all, and of clients that are only told to go.
     budget: Rc<Budget>,
@@ -81,18 +80,14 @@
 
 impl Clients {
     pub fn new(
-        settings: Settings,
-        names: Names,
-        open_cap: usize,
+        setup: Arc<Setup>,
         servers: Rc<Servers>,
         budgets: (Rc<Budget>, Rc<Budget>),
         counts: Rc<Counts>,
         tx: mpsc::UnboundedSender<Msg>,
     ) -> Rc<Self> {
         Rc::new(Clients {
-            settings,
-            names,
-            open_cap,
+            setup: RefCell::new(setup),
             servers,
             budget: budgets.0,
             overflow: budgets.1,
@@ -114,6 +109,19 @@
         })
     }
 
+    /// What requests go by that come now.
+    pub fn setup(&self) -> Arc<Setup> {
+        self.setup.borrow().clone()
+    }
+
+    /// Goes by another setup from now on; the module hears of it before it hears of such a request.
+    pub fn go_by(&self, setup: Arc<Setup>) {
+        self.counts.name(setup.names.classes());
+        self.servers.go_by(setup.figures.clone());
+        let _ = self.tx.send(Msg::Settings(Box::new(setup.settings.clone())));
+        *self.setup.borrow_mut() = setup;
+    }
+
     /// Accepts until it is told to stop, after SIGTERM too: what is written to a connection in the
     /// backlog counts as taken.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
@@ -286,7 +294,7 @@
 
     /// After SIGTERM: drains, and returns once nothing is held.
     pub async fn drain(self: &Rc<Self>) {
-        let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let longest = self.setup().settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         self.ending.set(true);
         self.horizon.close(Duration::from_micros(longest));
         self.stand_by();
@@ -331,12 +339,13 @@
         if text("x-txn").map_err(|_| bad("X-Txn is not text\n"))?.is_none_or(str::is_empty) {
             return Err(bad("X-Txn is missing\n"));
         }
+        let setup = self.setup();
         let class = self.class_of(&head.headers).ok_or(bad("X-Lane names no known class\n"))?;
         let tenant = match text("x-org").map_err(|_| bad("X-Org is not text\n"))? {
             None => None,
-            Some(name) => Some(self.names.tenant(name).ok_or(bad("X-Org names no known tenant\n"))?),
+            Some(name) => Some(setup.names.tenant(name).ok_or(bad("X-Org names no known tenant\n"))?),
         };
-        let class_of = &self.settings.classes[class];
+        let class_of = &setup.settings.classes[class];
         let keyed = matches!(class_of.semantics, Semantics::Keyed { .. });
         if keyed && !head.headers.contains_key("idempotency-key") {
             return Err(bad("Idempotency-Key is missing\n"));
@@ -359,7 +368,7 @@
             Payload::Coming(upload) => (Some(upload.clone()), None),
             Payload::Whole(_) => (None, Some(self.horizon.deadline(patience))),
         };
-        if self.held.get() >= self.open_cap {
+        if self.held.get() >= setup.figures.open_cap {
             self.counts.ended(class, End::Refused);
             upload.into_iter().for_each(|upload| drop(spawn_local(upload.discard())));
             return Ok(self.refusal(Some(OVERFULL)));
@@ -459,14 +468,15 @@
     }
 
     fn class_of(&self, headers: &HeaderMap) -> Option<usize> {
-        self.names.class(headers.get("x-lane")?.to_str().ok()?)
+        self.setup.borrow().names.class(headers.get("x-lane")?.to_str().ok()?)
     }
 
     /// A refusal: trying again is harmless.
     fn refusal(&self, wait: Option<Duration>) -> Response<Reply> {
         let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
-        let advice =
-            wait.filter(|_| self.settings.retry_after).map(|wait| format!("{:.3}", wait.as_secs_f64()));
+        let advice = wait
+            .filter(|_| self.setup.borrow().settings.retry_after)
+            .map(|wait| format!("{:.3}", wait.as_secs_f64()));
         if let Some(value) = advice.and_then(|text| HeaderValue::from_str(&text).ok()) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
--- a/src/bin/woodgap/config.rs
+++ b/src/bin/woodgap/config.rs
@@ -4,15 +4,14 @@
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::Value;
-use woodgap::settings::{self, Names, Pairs};
-use woodgap::Settings;
+use woodgap::settings::Changed;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::discovery::List;
+use crate::setup::Setup;
 
 /// The file's form; unknown keys are ignored.
 #[derive(Deserialize)]
@@ -68,23 +67,7 @@
     pub peers_all: Option<SocketAddr>,
     /// The list as this node last had it.
     pub known: List,
-    pub settings: Settings,
-    pub names: Names,
-    pub figures: Figures,
-}
-
-/// Figures of the settings that concern the node and not its decisions.
-#[derive(Clone)]
-pub struct Figures {
-    pub dial_timeout: Duration,
-    /// Servers close connections that stood idle for this long.
-    pub keepalive: Duration,
-    /// Sends to a draining server must have ended after this long.
-    pub drain_grace: Duration,
-    /// The most requests held at a time.
-    pub open_cap: usize,
-    /// The fields of a load report, in the module's order.
-    pub report: Vec<String>,
+    pub setup: Setup,
 }
 
 impl Config {
@@ -102,17 +85,6 @@
         let parse = |text: &String| -> Result<SocketAddr, Box<dyn Error>> {
             Ok(text.parse().map_err(|e| format!("peer '{text}': {e}"))?)
         };
-        let mut pairs = Pairs::default();
-        flatten("", &file.settings, &mut pairs);
-        let (settings, names) = settings::parse(&pairs)?;
-        let micros = |path, default| pairs.time(path, default).map(Duration::from_micros);
-        let figures = Figures {
-            dial_timeout: micros("bounds.dial-timeout", 250_000)?,
-            keepalive: micros("bounds.keepalive", 15_000_000)?,
-            drain_grace: micros("rules.stop-sending-within", 500_000)?,
-            open_cap: pairs.whole("bounds.open-cap", 20_000)?.clamp(1, 1 << 20) as usize,
-            report: pairs.text("report.fields").unwrap_or("").split(',').map(str::to_owned).collect(),
-        };
         Ok(Config {
             name: env.get("BALANCER_NAME").cloned().unwrap_or(file.name),
             listen: address("BALANCER_LISTEN", file.listen)?,
@@ -126,20 +98,28 @@
             peers: file.peers.iter().map(parse).collect::<Result<_, _>>()?,
             peers_all: file.peers_all.as_ref().map(parse).transpose()?,
             known: List::from_value(&file.known).unwrap_or_default(),
-            settings,
-            names,
-            figures,
+            setup: Setup::read(&file.settings)?,
         })
     }
 
-    /// Discovery's address in a file that has replaced the first. The environment is not asked: its
-    /// words are those of the start.
-    pub fn read_discovery(text: &str) -> Result<SocketAddr, Box<dyn Error>> {
+    /// A file that has replaced the first: discovery's address, and what takes the place of `setup`, if its settings
+    /// are other ones. The environment is not asked: its words are those of the start.
+    pub fn read_again(text: &str, setup: &Setup) -> Result<Again, Box<dyn Error>> {
         let file: File = serde_json::from_str(text)?;
-        Ok(file.discovery.ok_or("the file names no discovery")?.parse()?)
+        let discovery = file.discovery.ok_or("the file names no discovery")?.parse()?;
+        // A file may name discovery alone.
+        let next = if file.settings.is_null() { None } else { setup.followed_by(&file.settings)? };
+        Ok(Again { discovery, next })
     }
 }
 
+/// What a file says that has replaced the first.
+pub struct Again {
+    pub discovery: SocketAddr,
+    /// With what is different, for the log.
+    pub next: Option<(Setup, Changed)>,
+}
+
 fn seed(value: &Value) -> u64 {
     match value {
         Value::String(text) => u64::from_str_radix(text, 16).unwrap_or_else(|_| xxh3_64(text.as_bytes())),
@@ -147,52 +127,6 @@
     }
 }
 
-/// Turns an object into the paths that the simulator's first message has: the items of a list of
-/// objects under their places with a count, a list of plain values joined by commas.
-fn flatten(path: &str, value: &Value, pairs: &mut Pairs) {
-    let below = |name: &str| {
-        let name = name.replace('_', "-");
-        if path.is_empty() {
-            name
-        } else {
-            format!("{path}.{name}")
-        }
-    };
-    match value {
-        Value::Object(map) => map.iter().for_each(|(name, value)| flatten(&below(name), value, pairs)),
-        Value::Array(items) if items.iter().any(Value::is_object) => {
-            pairs.set(below("count"), items.len().to_string());
-            for (i, item) in items.iter().enumerate() {
-                flatten(&below(&i.to_string()), item, pairs);
-            }
-        }
-        Value::Array(items) => {
-            let items: Vec<String> = items.iter().filter_map(plain).collect();
-            pairs.set(path.to_owned(), items.join(","));
-        }
-        other => {
-            if let Some(text) = plain(other) {
-                pairs.set(path.to_owned(), text);
-            }
-        }
-    }
-}
-
-fn plain(value: &Value) -> Option<String> {
-    match value {
-        Value::String(text) => Some(text.clone()),
-        Value::Number(number) => match number.as_f64() {
-            // A whole number may be written as 5.0 or 1e6.
-            Some(real) if number.as_u64().is_none() && real.fract() == 0.0 && (0.0..9e15).contains(&real) => {
-                Some((real as u64).to_string())
-            }
-            _ => Some(number.to_string()),
-        },
-        Value::Bool(flag) => Some(flag.to_string()),
-        _ => None,
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -208,10 +142,13 @@
         let env = HashMap::from([("BALANCER_LISTEN".to_owned(), "127.0.0.1:9".to_owned())]);
         let config = Config::read(text, &env).unwrap();
         assert_eq!((config.seed, config.sockets, config.listen.port()), (0xff, 77, 9));
-        assert_eq!((config.settings.group_size, config.settings.max_attempts), (3, 5));
-        assert_eq!((config.settings.classes[0].aim, config.names.class("pay")), (500_000, Some(0)));
-        assert!(config.settings.may_probe && config.known.entries.is_empty());
-        assert_eq!(config.figures.report, ["queue", "util"]);
+        assert_eq!((config.setup.settings.group_size, config.setup.settings.max_attempts), (3, 5));
+        assert_eq!(
+            (config.setup.settings.classes[0].aim, config.setup.names.class("pay")),
+            (500_000, Some(0))
+        );
+        assert!(config.setup.settings.may_probe && config.known.entries.is_empty());
+        assert_eq!(config.setup.figures.report, ["queue", "util"]);
         assert!(config.operator.is_none(), "off where nobody names it");
         let env = HashMap::from([("BALANCER_OPERATOR".to_owned(), "127.0.0.1:8".to_owned())]);
         assert_eq!(Config::read(text, &env).unwrap().operator.unwrap().port(), 8);
--- a/src/bin/woodgap/counts.rs
+++ b/src/bin/woodgap/counts.rs
@@ -74,7 +74,7 @@
     pub sighup_applied: Count,
     pub sighup_rejected: Count,
     /// Ends of requests by class.
-    ends: Vec<Ends>,
+    ends: RefCell<Vec<Ends>>,
     /// Attempts by outcome.
     attempts: [Count; OUTCOMES.len()],
     /// What the last report read.
@@ -96,13 +96,22 @@
 
 impl Counts {
     pub fn new(classes: &[String]) -> Rc<Self> {
-        let ends = classes.iter().map(|class| Ends { class: class.clone(), ..Ends::default() }).collect();
-        Rc::new(Counts { ends, ..Counts::default() })
+        let counts = Rc::new(Counts::default());
+        counts.name(classes);
+        counts
+    }
+
+    /// There are these classes: those that were keep their places and counts.
+    pub fn name(&self, classes: &[String]) {
+        let mut ends = self.ends.borrow_mut();
+        let more = classes.iter().skip(ends.len());
+        let more: Vec<Ends> = more.map(|class| Ends { class: class.clone(), ..Ends::default() }).collect();
+        ends.extend(more);
     }
 
     /// A request of a class has ended.
     pub fn ended(&self, class: usize, end: End) {
-        if let Some(ends) = self.ends.get(class) {
+        if let Some(ends) = self.ends.borrow().get(class) {
             ends.of(end).add();
         }
     }
@@ -123,7 +132,8 @@
 
     /// What came since the last report.
     pub fn report(&self) -> String {
-        let all = |end| self.ends.iter().map(|ends| ends.of(end).get()).sum();
+        let ends = self.ends.borrow();
+        let all = |end| ends.iter().map(|ends| ends.of(end).get()).sum();
         let mut now = vec![
             ("connected", self.accepted.get()),
             ("no-room", self.no_room.get()),
@@ -160,7 +170,7 @@
             ("aborted_total", "Requests failed.", End::Failed),
         ] {
             head(&mut text, name, help, "counter");
-            for ends in &self.ends {
+            for ends in self.ends.borrow().iter() {
                 let (class, count) = (escaped(&ends.class), ends.of(end).get());
                 let _ = writeln!(text, "svc_{name}{{service=\"{class}\"}} {count}");
             }
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -12,7 +12,7 @@
 use tokio_util::time::{delay_queue, DelayQueue};
 use woodgap::{
     Action, Balancer, ClassId, Closed, Discovery, Event, Key, Micros, Outcome, Request, RequestId, ServerId,
-    SyncKind, TenantId, TimerId,
+    Settings, SyncKind, TenantId, TimerId,
 };
 
 use crate::bans::Bans;
@@ -84,6 +84,8 @@
     },
     /// Discovery answers at this address from now on.
     Discovery(SocketAddr),
+    /// These are the settings from now on.
+    Settings(Box<Settings>),
     /// Leave a server out, or put it back.
     Maintain {
         id: String,
@@ -184,7 +186,7 @@
     ) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
         Driver {
-            balancer: Balancer::new(config.settings.clone(), config.seed),
+            balancer: Balancer::new(config.setup.settings.clone(), config.seed),
             clock: Clock { start: Instant::now(), unix },
             held: HashMap::new(),
             due: DelayQueue::new(),
@@ -193,8 +195,8 @@
             peers,
             counts,
             discovery: config.discovery,
-            mode: config.settings.discovery,
-            max_attempts: config.settings.max_attempts as usize,
+            mode: config.setup.settings.discovery,
+            max_attempts: config.setup.settings.max_attempts as usize,
             revision: 0,
             watch: 0,
             watching: Watch::Ended,
@@ -300,6 +302,10 @@
                 let _ = reply.send(done);
             }
             Msg::Avoided(reply) => drop(reply.send(self.balancer.avoided())),
+            Msg::Settings(settings) => {
+                self.max_attempts = settings.max_attempts as usize;
+                self.events.push_back(Event::Settings(settings));
+            }
             Msg::Discovery(addr) => {
                 self.discovery = addr;
                 // Whoever asked for the watch there was, it ends with the old address.
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -19,27 +19,30 @@
 mod peers;
 mod presence;
 mod servers;
+mod setup;
 mod stream;
 mod task;
 
 use std::error::Error;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::{spawn_blocking, spawn_local, LocalSet};
 
 use bans::Bans;
 use body::Memory;
 use clients::Clients;
-use config::Config;
+use config::{Again, Config};
 use counts::Counts;
 use driver::{Driver, Msg};
 use operator::{Operator, CALLERS};
 use peers::Peers;
 use servers::Servers;
+use setup::Setup;
 use task::Budget;
 
 /// Descriptors that are not sockets of clients or servers: the standard ones, the runtime's, the
@@ -80,17 +83,15 @@
     let operators = config.operator.map_or(0, |_| CALLERS + 1);
     let all = config.sockets.saturating_sub(RESERVE + OVERFLOW + operators).max(2);
     let places = all.saturating_sub(config.sockets / 3).max(1);
-    let counts = Counts::new(config.names.classes());
+    let counts = Counts::new(config.setup.names.classes());
     // The rest is for the connections' own buffers, and for a process beside this one.
     let memory = Memory::new(config.memory / KEPT_PART);
-    let servers = Servers::new(config.figures.clone(), Budget::new(all), memory, counts.clone());
+    let servers = Servers::new(config.setup.figures.clone(), Budget::new(all), memory, counts.clone());
     let mut driver = Driver::new(&config, servers.clone(), peers.clone(), counts.clone(), tx.clone());
     let bans = config.operator.map(|_| Bans::open(config.scratch.as_deref(), &config.name));
     driver.start(&config.known, bans);
     let clients = Clients::new(
-        config.settings,
-        config.names,
-        config.figures.open_cap,
+        Arc::new(config.setup),
         servers.clone(),
         (Budget::new(places), Budget::new(OVERFLOW)),
         counts.clone(),
@@ -102,18 +103,28 @@
         let operator = Operator::new(clients.clone(), servers, counts.clone(), tx.clone());
         spawn_local(operator.accept(listener));
     }
-    let news = tx.clone();
-    spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            match new_discovery(&path) {
-                Ok(addr) => {
-                    counts.sighup_applied.add();
-                    log::line(format_args!("discovery moves to {addr}"));
-                    let _ = news.send(Msg::Discovery(addr));
-                }
-                Err(error) => {
-                    counts.sighup_rejected.add();
-                    log::line(format_args!("the new configuration is left alone: {error}"));
+    spawn_local({
+        let (clients, news) = (clients.clone(), tx.clone());
+        async move {
+            let mut discovery = config.discovery;
+            while hangup.recv().await.is_some() {
+                match read_again(path.clone(), clients.setup()).await {
+                    Ok(Again { discovery: addr, next }) => {
+                        if let Some((setup, changed)) = next {
+                            log::line(format_args!("new settings: {changed}"));
+                            clients.go_by(Arc::new(setup));
+                        }
+                        // A watch that is open at the same address goes on.
+                        if std::mem::replace(&mut discovery, addr) != addr {
+                            log::line(format_args!("discovery moves to {addr}"));
+                            let _ = news.send(Msg::Discovery(addr));
+                        }
+                        counts.sighup_applied.add();
+                    }
+                    Err(error) => {
+                        counts.sighup_rejected.add();
+                        log::line(format_args!("the new configuration is left alone: {error}"));
+                    }
                 }
             }
         }
@@ -143,9 +154,13 @@
     TcpListener::bind(addr).await.map_err(|error| format!("{addr}: {error}"))
 }
 
-/// Discovery's address, read again from the configuration.
-fn new_discovery(path: &Path) -> Result<std::net::SocketAddr, Box<dyn Error>> {
-    Config::read_discovery(&std::fs::read_to_string(path)?)
+/// The configuration, read again on a thread of its own: a large one takes longer than requests may wait.
+async fn read_again(path: PathBuf, setup: Arc<Setup>) -> Result<Again, String> {
+    let read = move || {
+        let text = std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
+        Config::read_again(&text, &setup).map_err(|error| format!("{}: {error}", path.display()))
+    };
+    spawn_blocking(read).await.map_err(|error| error.to_string())?
 }
 
 fn start() -> Result<(), Box<dyn Error>> {
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -19,10 +19,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::body::{gather, Gathered, Kept, Memory, Outgoing, Payload, Reply};
-use crate::config::Figures;
 use crate::counts::{Counts, End};
 use crate::discovery::{server_number, List};
 use crate::presence::Client;
+use crate::setup::Figures;
 use crate::stream::{Progress, Stream};
 use crate::task::{AbortOnDrop, Budget, Permit};
 
@@ -109,7 +109,7 @@
 
 /// All servers on the list.
 pub struct Servers {
-    figures: Figures,
+    figures: RefCell<Rc<Figures>>,
     budget: Rc<Budget>,
     memory: Rc<Memory>,
     counts: Rc<Counts>,
@@ -133,9 +133,18 @@
 }
 
 impl Servers {
+    /// Goes by other figures from now on.
+    pub fn go_by(&self, figures: Figures) {
+        *self.figures.borrow_mut() = Rc::new(figures);
+    }
+
+    fn figures(&self) -> Rc<Figures> {
+        self.figures.borrow().clone()
+    }
+
     pub fn new(figures: Figures, budget: Rc<Budget>, memory: Rc<Memory>, counts: Rc<Counts>) -> Rc<Self> {
         Rc::new(Servers {
-            figures,
+            figures: RefCell::new(Rc::new(figures)),
             budget,
             memory,
             counts,
@@ -278,7 +287,7 @@
     fn address(&self, server: ServerId) -> Option<(SocketAddr, u64)> {
         let entries = self.entries.borrow();
         let entry = entries.get(&server)?;
-        let late = entry.barred.is_some_and(|since| since.elapsed() > self.figures.drain_grace / 2);
+        let late = entry.barred.is_some_and(|since| since.elapsed() > self.figures().drain_grace / 2);
         (!late).then_some((entry.addr, entry.epoch))
     }
 
@@ -310,7 +319,7 @@
 
     /// Closes what has been idle for long or was closed by its server. To be called now and then.
     pub fn tidy(&self) {
-        let longest = self.figures.keepalive.mul_f64(REUSE);
+        let longest = self.figures().keepalive.mul_f64(REUSE);
         for entry in self.entries.borrow_mut().values_mut() {
             entry.idle.retain(|link| !link.sender.is_closed() && link.idle_since.elapsed() < longest);
         }
@@ -324,7 +333,7 @@
     }
 
     fn idle_link(&self, server: ServerId) -> Option<Link> {
-        let longest = self.figures.keepalive.mul_f64(REUSE);
+        let longest = self.figures().keepalive.mul_f64(REUSE);
         let mut entries = self.entries.borrow_mut();
         let entry = entries.get_mut(&server)?;
         let rested = |link: &Link| link.idle_since.elapsed() >= REST;
@@ -426,7 +435,7 @@
                 Exchange::Broken => return Outcome::Reset.into(),
                 Exchange::Answer(status, headers, content) => {
                     self.hear(server);
-                    let load = load(&headers, &self.figures.report);
+                    let load = load(&headers, &self.figures().report);
                     let outcome = outcome(status, &headers);
                     let reply = self.reply(server, link, content);
                     let answer = (outcome == Outcome::Ok).then_some((headers, reply));
@@ -441,7 +450,7 @@
     async fn ready(&self, server: ServerId, until: Option<Instant>) -> Option<Ready> {
         loop {
             let (addr, epoch) = self.address(server)?;
-            let dial_by = Instant::now() + self.figures.dial_timeout;
+            let dial_by = Instant::now() + self.figures().dial_timeout;
             let dial_by = until.map_or(dial_by, |until| until.min(dial_by));
             let (mut link, reused) = match self.idle_link(server) {
                 Some(link) => {
@@ -452,7 +461,7 @@
                 }
                 None => (timeout_at(dial_by, self.dial(addr, epoch)).await.ok()?.ok()?, false),
             };
-            let ready_by = Instant::now() + self.figures.dial_timeout;
+            let ready_by = Instant::now() + self.figures().dial_timeout;
             let ready_by = until.map_or(ready_by, |until| until.min(ready_by));
             if !matches!(timeout_at(ready_by, link.sender.ready()).await, Ok(Ok(()))) {
                 if reused {
@@ -507,7 +516,7 @@
             client: Client::node(),
         };
         // A probe waits like a request, but not like a patient one.
-        let until = Instant::now() + self.figures.dial_timeout * 2;
+        let until = Instant::now() + self.figures().dial_timeout * 2;
         self.attempt(server, &call, Some(until)).await
     }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,6 +11,8 @@
 
 use crate::api::*;
 
+mod report;
+
 /// Slots of the table: a fixed prime, since a size that follows the fleet would move every key.
 pub const TABLE_SLOTS: usize = 16_381;
 /// Seeds of the table's two hashes and of the key hash. All nodes must agree on them.
@@ -370,11 +372,9 @@
 impl Balancer {
     /// A node at its start. `seed` feeds its random choices and nothing that nodes agree on.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let norm = |c: &Class| Norm { mean: c.aim as f64 / 4.0, cost: 0.0, answers: 0.0, rates: [0.0; 2] };
-        let shortest = settings.classes.iter().map(|c| c.aim).min().unwrap_or(Micros::MAX);
-        Balancer {
-            sweep: (shortest / SWEEPS_AN_AIM).clamp(SWEEP_LEAST, SWEEP),
-            tenant_rates: vec![0.0; settings.tenants.len()],
+        let mut balancer = Balancer {
+            sweep: SWEEP,
+            tenant_rates: Vec::new(),
             rng: Rng::with_seed(seed),
             now: 0,
             servers: Vec::new(),
@@ -386,7 +386,7 @@
             inflight: 0,
             requests: HashMap::new(),
             turns: BTreeMap::new(),
-            norms: settings.classes.iter().map(norm).collect(),
+            norms: Vec::new(),
             spread: (0.0, 0.0),
             silent: BTreeMap::new(),
             kinds: BTreeMap::new(),
@@ -397,8 +397,25 @@
             mood: Mood { limit: f64::INFINITY, ..Mood::default() },
             subscribed: false,
             refusals: 0,
-            settings,
+            settings: Settings::default(),
+        };
+        balancer.on_settings(settings);
+        balancer
+    }
+
+    /// Settings in place of those there are, at the same places: what is held and learnt goes by these.
+    fn on_settings(&mut self, settings: Settings) {
+        let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
+        if classes < self.norms.len() || tenants < self.tenant_rates.len() {
+            return;
         }
+        let norm = |c: &Class| Norm { mean: c.aim as f64 / 4.0, cost: 0.0, answers: 0.0, rates: [0.0; 2] };
+        self.norms.extend(settings.classes[self.norms.len()..].iter().map(norm));
+        self.servers.iter_mut().for_each(|server| server.bars.resize(classes, Bar::default()));
+        self.tenant_rates.resize(tenants, 0.0);
+        let shortest = settings.classes.iter().map(|c| c.aim).min().unwrap_or(Micros::MAX);
+        self.sweep = (shortest / SWEEPS_AN_AIM).clamp(SWEEP_LEAST, SWEEP);
+        self.settings = settings;
     }
 
     /// Takes one event and appends what to do to `out`.
@@ -412,6 +429,7 @@
             Event::Lapsed(id) => self.end(id, out),
             Event::Probed { server, outcome, .. } => self.on_probed(server, outcome),
             Event::Maintenance { server, out } => self.on_maintenance(server, out),
+            Event::Settings(settings) => self.on_settings(*settings),
             Event::Timer(TIMER_SWEEP) => self.sweep(out),
             Event::Timer(TimerId(n)) if n >= TIMER_REST => self.give_turn(Key(n - TIMER_REST), out),
             Event::Timer(TIMER_SUBSCRIBE) if !self.subscribed => out.push(Action::Subscribe),
@@ -419,25 +437,6 @@
         }
     }
 
-    /// What governs the decisions, and the servers that do not carry all their slots, for the log.
-    pub fn mood(&self) -> String {
-        let Mood { limit, flow, strain, late, failing, ejected, .. } = self.mood;
-        let mut text =
-            format!("in flight {} of {limit:.1}, flow {flow:.1} strain {strain:.2}, ", self.inflight);
-        text += &format!("late {late:.2}, failing {failing:.2}, ejected {ejected:.2}");
-        for server in self.servers.iter().filter(|s| s.ready && self.share(s) < 1.0) {
-            let (id, held, ratio) = (server.member.server.0, server.inflight, self.pace(server));
-            text += &format!(", server {id:x} share {:.2} ratio {ratio:.1} holds {held}", self.share(server));
-        }
-        text
-    }
-
-    /// How many listed servers the node avoids now, by its own choice or by hand.
-    pub fn avoided(&self) -> usize {
-        let ejected = |s: &Server| s.ban.until.is_some() && self.mood.ejected <= PANIC;
-        self.servers.iter().filter(|s| s.listed && (!s.ready || ejected(s) || self.cut_off(s))).count()
-    }
-
     // Discovery.
 
     fn on_sync(&mut self, kind: SyncKind, members: Vec<Member>, out: &mut Vec<Action>) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,8 +9,16 @@
 
 use crate::api::*;
 
+mod succession;
+
+pub use succession::{succeed, Changed, Succession};
+
 /// The longest span that a setting may name: sums of such spans and of clocks stay in range, at every host.
 const LONGEST: Micros = 30 * 24 * 3_600 * 1_000_000;
+/// The most classes and tenants, those included that were withdrawn since the node's start: the largest fleet in sight has
+/// 46,000 tenants, and a damaged count may not take the node's memory.
+const MOST_CLASSES: usize = 10_000;
+const MOST_TENANTS: usize = 100_000;
 
 /// What is wrong with an input.
 #[derive(Debug)]
@@ -90,25 +98,42 @@
 }
 
 /// The names that requests use for the classes and tenants of the settings.
+#[derive(Clone, Debug, Default)]
 pub struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
+    pub(crate) classes: Roll,
+    pub(crate) tenants: Roll,
 }
 
 impl Names {
     /// The place of a class.
     pub fn class(&self, name: &str) -> Option<usize> {
-        self.classes.iter().position(|n| n == name)
+        self.classes.places.get(name).copied()
     }
 
-    /// All classes by their places.
+    /// All classes by their places, those that were withdrawn included.
     pub fn classes(&self) -> &[String] {
-        &self.classes
+        &self.classes.names
     }
 
     /// The place of a tenant.
     pub fn tenant(&self, name: &str) -> Option<usize> {
-        self.tenants.iter().position(|n| n == name)
+        self.tenants.places.get(name).copied()
+    }
+}
+
+/// Names by their places. One that was withdrawn keeps its place and is found no more.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Roll {
+    pub(crate) names: Vec<String>,
+    /// Where those in service are.
+    pub(crate) places: HashMap<String, usize>,
+}
+
+impl Roll {
+    /// Puts a name into service at the next place. Of two alike the first is found.
+    pub(crate) fn push(&mut self, name: String) {
+        self.places.entry(name.clone()).or_insert(self.names.len());
+        self.names.push(name);
     }
 }
 
@@ -163,8 +188,8 @@
 
 /// Reads the pairs; unknown ones are ignored.
 pub fn parse(p: &Pairs) -> Result<(Settings, Names), Fault> {
-    let (classes, class_names) = list(p, "classes", class)?;
-    let (tenants, tenant_names) = list(p, "tenants", tenant)?;
+    let (classes, class_names) = list(p, "classes", MOST_CLASSES, class)?;
+    let (tenants, tenant_names) = list(p, "tenants", MOST_TENANTS, tenant)?;
     let settings = Settings {
         group_size: p.whole("group-size", 1)?.clamp(1, 1 << 20) as u32,
         classes,
@@ -208,19 +233,20 @@
 fn list<T>(
     p: &Pairs,
     path: &str,
+    most: usize,
     item: fn(&Pairs, &str) -> Result<T, Fault>,
-) -> Result<(Vec<T>, Vec<String>), Fault> {
+) -> Result<(Vec<T>, Roll), Fault> {
     let count = p.whole(&format!("{path}.count"), 0)?;
-    if count > 10_000 {
-        return Err(Fault::new(format!("{path}.count={count} is too many")));
+    if count > most as u64 {
+        return Err(Fault(format!("{path}.count={count} is too many, {most} at most")));
     }
-    let (mut items, mut names) = (Vec::new(), Vec::new());
+    let (mut items, mut roll) = (Vec::new(), Roll::default());
     for i in 0..count {
         let prefix = format!("{path}.{i}");
         items.push(item(p, &prefix)?);
-        names.push(p.text(&format!("{prefix}.name")).unwrap_or("").to_owned());
+        roll.push(p.text(&format!("{prefix}.name")).unwrap_or("").to_owned());
     }
-    Ok((items, names))
+    Ok((items, roll))
 }
 
 fn class(p: &Pairs, at: &str) -> Result<Class, Fault> {
--- /dev/null
+++ b/src/settings/succession.rs
@@ -0,0 +1,129 @@
+//! Owns how settings take the place of others while a node runs: classes and tenants keep their places, as requests and
+//! what was learnt go by these.
+
+use std::collections::{HashMap, HashSet};
+use std::fmt;
+
+use crate::api::Settings;
+
+use super::{Fault, Names, Roll, MOST_CLASSES, MOST_TENANTS};
+
+/// The settings that follow.
+#[derive(Debug)]
+pub struct Succession {
+    /// At the places of the old ones; new classes and tenants come after them, and those that were withdrawn keep theirs.
+    pub settings: Settings,
+    /// The names in service.
+    pub names: Names,
+    /// What is different, for the log.
+    pub changed: Changed,
+}
+
+/// How many of a list came, differ or went.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Moves {
+    added: usize,
+    altered: usize,
+    withdrawn: usize,
+}
+
+/// What is different.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Changed {
+    classes: Moves,
+    tenants: Moves,
+    /// Figures beside the two lists.
+    figures: bool,
+    /// What is said otherwise and stays until a restart.
+    kept: Vec<&'static str>,
+}
+
+impl Changed {
+    /// Whether nothing is.
+    pub fn is_nothing(&self) -> bool {
+        *self == Changed::default()
+    }
+}
+
+impl fmt::Display for Changed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut parts = Vec::new();
+        for (what, moves) in [("classes", self.classes), ("tenants", self.tenants)] {
+            let Moves { added, altered, withdrawn } = moves;
+            if moves != Moves::default() {
+                parts.push(format!("{what} {added} added, {altered} altered, {withdrawn} withdrawn"));
+            }
+        }
+        if self.figures {
+            parts.push("other figures altered".into());
+        }
+        parts.extend(self.kept.iter().map(|key| format!("{key} stays as it was until a restart")));
+        f.write_str(if parts.is_empty() { "nothing" } else { "" })?;
+        f.write_str(&parts.join("; "))
+    }
+}
+
+/// The new settings in the place of the old ones. Refused: such without a class, and lists that outgrow their limit.
+pub fn succeed(old: (&Settings, &Names), new: (Settings, Names)) -> Result<Succession, Fault> {
+    let ((was, had), (new, names)) = (old, new);
+    if names.classes.places.is_empty() && !had.classes.places.is_empty() {
+        return Err(Fault::new("the settings name no class".into()));
+    }
+    let (classes, class_names, class_moves) =
+        follow(("classes", MOST_CLASSES), (&was.classes, &had.classes), (&new.classes, &names.classes))?;
+    let (tenants, tenant_names, tenant_moves) =
+        follow(("tenants", MOST_TENANTS), (&was.tenants, &had.tenants), (&new.tenants, &names.tenants))?;
+    let mut kept = Vec::new();
+    if new.discovery != was.discovery {
+        kept.push("registry-mode");
+    }
+    if new.weight_source != was.weight_source {
+        kept.push("weight-source");
+    }
+    // A watch and the sizes of servers are of the mode that the process began with.
+    let (discovery, weight_source) = (was.discovery, was.weight_source);
+    let settings = Settings { classes, tenants, discovery, weight_source, ..new };
+    let bare =
+        |settings: &Settings| Settings { classes: Vec::new(), tenants: Vec::new(), ..settings.clone() };
+    let figures = bare(&settings) != bare(was);
+    let changed = Changed { classes: class_moves, tenants: tenant_moves, figures, kept };
+    Ok(Succession { settings, names: Names { classes: class_names, tenants: tenant_names }, changed })
+}
+
+fn follow<T: Clone + PartialEq>(
+    (what, most): (&str, usize),
+    (was, had): (&[T], &Roll),
+    (new, names): (&[T], &Roll),
+) -> Result<(Vec<T>, Roll, Moves), Fault> {
+    let mut known: HashMap<&str, usize> = HashMap::with_capacity(had.names.len());
+    for (place, name) in had.names.iter().enumerate() {
+        known.entry(name).or_insert(place);
+    }
+    let (mut items, mut roll) = (was.to_vec(), Roll { names: had.names.clone(), places: HashMap::new() });
+    let mut moves = Moves::default();
+    let mut seen = HashSet::with_capacity(names.names.len());
+    for (name, item) in names.names.iter().zip(new).filter(|(name, _)| seen.insert(name.as_str())) {
+        match known.get(name.as_str()) {
+            Some(&place) => {
+                let serves = had.places.contains_key(name);
+                moves.added += usize::from(!serves);
+                moves.altered += usize::from(serves && items[place] != *item);
+                items[place] = item.clone();
+                roll.places.insert(name.clone(), place);
+            }
+            None => {
+                moves.added += 1;
+                items.push(item.clone());
+                roll.push(name.clone());
+            }
+        }
+    }
+    if items.len() > most {
+        let count = items.len();
+        return Err(Fault::new(format!(
+            "{count} {what} with those that were withdrawn since the start are too many, {most} at most"
+        )));
+    }
+    moves.withdrawn = had.places.keys().filter(|name| !roll.places.contains_key(*name)).count();
+    Ok((items, roll, moves))
+}
--- /dev/null
+++ b/tests/node/configuration.rs
@@ -0,0 +1,242 @@
+//! Settings that change while the node runs: in force at SIGHUP, without losing a request or what is known.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use serde_json::Value;
+
+use crate::*;
+
+const APPLIED: &str = "svc_sighup_applied_total";
+const REJECTED: &str = "svc_sighup_rejected_total";
+/// Of the largest fleet in sight.
+const TENANTS: usize = 46_000;
+
+fn site(servers: usize, shape: impl FnOnce(&mut Value)) -> Site {
+    Site::shaped(servers, &[("BALANCER_OPERATOR", "127.0.0.1:0")], shape)
+}
+
+fn write(site: &Site) {
+    std::fs::write(site.file.path(), site.config.to_string()).unwrap();
+}
+
+/// Changes the node's file and has it read, until the node says which became of it.
+fn change(site: &mut Site, figure: &str, change: impl FnOnce(&mut Value)) {
+    change(&mut site.config);
+    write(site);
+    reread(site, figure);
+}
+
+fn reread(site: &Site, figure: &str) {
+    let before = site.figure(figure);
+    site.signal("-HUP");
+    until("the file was read again", || site.figure(figure) > before);
+}
+
+fn class(name: &str) -> Value {
+    json!({"name": name, "aim": 20_000_000, "deadline": 60_000_000, "semantics": "safe", "points": 1.0})
+}
+
+fn classes(config: &mut Value) -> &mut Vec<Value> {
+    config["settings"]["classes"].as_array_mut().unwrap()
+}
+
+fn tenants(count: usize) -> Value {
+    (0..count).map(|n| json!({"name": format!("tenant-{n:06}"), "quota-per-s": 5.0})).collect()
+}
+
+/// Asks until it is not refused: on a busy machine slow answers pass for overload, which is not what is tested here.
+fn status(mut ask: impl FnMut() -> u16) -> u16 {
+    let mut status = 503;
+    until("it is not refused", || {
+        status = ask();
+        status != 503
+    });
+    status
+}
+
+fn ask(site: &Site, class: &str, id: &str) -> u16 {
+    status(|| site.ask(class, id).status())
+}
+
+fn asked_by(site: &Site, tenant: &str) -> u16 {
+    let text = String::from_utf8(request("look", "t", 60_000)).unwrap();
+    let text = text.replace("X-Org: acme", &format!("X-Org: {tenant}"));
+    status(|| site.raw(text.as_bytes()).status())
+}
+
+#[test]
+fn classes_and_tenants_come_and_go_at_sighup() {
+    let mut site = site(2, |_| ());
+    assert_eq!(ask(&site, "quote", "a"), 400);
+    assert_eq!(asked_by(&site, "zenith"), 400);
+    change(&mut site, APPLIED, |config| {
+        classes(config).insert(0, class("quote"));
+        config["settings"]["tenants"] = json!([{"name": "zenith", "quota-per-s": 0.0}]);
+    });
+    assert_eq!(asked_by(&site, "zenith"), 200);
+    assert_eq!(asked_by(&site, "acme"), 400, "withdrawn");
+    change(&mut site, APPLIED, |config| {
+        config["settings"]["tenants"] = json!([{"name": "acme", "quota-per-s": 0.0}]);
+    });
+    assert_eq!(asked_by(&site, "acme"), 200);
+    assert_eq!(asked_by(&site, "zenith"), 400, "withdrawn");
+    assert_eq!(ask(&site, "quote", "b"), 200);
+    assert_eq!(site.figure("svc_succeeded_total{service=\"quote\"}"), 1);
+    change(&mut site, APPLIED, |config| drop(classes(config).remove(0)));
+    assert_eq!(ask(&site, "quote", "c"), 400, "withdrawn");
+    assert_eq!(ask(&site, "look", "d"), 200);
+    change(&mut site, APPLIED, |config| classes(config).push(class("quote")));
+    assert_eq!(ask(&site, "quote", "e"), 200);
+    // Under its old place and count.
+    assert_eq!(site.figure("svc_succeeded_total{service=\"quote\"}"), 2);
+}
+
+#[test]
+fn a_request_that_waits_keeps_its_class_while_the_classes_change() {
+    let mut site = site(1, |_| ());
+    site.all_do(Does::Hold);
+    let mut stream = site.dial();
+    stream.write_all(&request("pay", "held", 60_000)).unwrap();
+    until("it reached the server", || !site.requests().is_empty());
+    change(&mut site, APPLIED, |config| {
+        classes(config).remove(1);
+        classes(config).insert(0, class("quote"));
+    });
+    assert_eq!(ask(&site, "pay", "late"), 400, "withdrawn");
+    site.all_do(Does::Serve);
+    assert_eq!(Message::read(&mut BufReader::new(stream)).expect("an answer").status(), 200);
+    assert_eq!(site.figure("svc_succeeded_total{service=\"pay\"}"), 1);
+    assert_eq!(site.figure("svc_succeeded_total{service=\"quote\"}"), 0);
+}
+
+#[test]
+fn a_shorter_deadline_is_in_force_for_the_next_request() {
+    let mut site = site(1, |_| ());
+    site.all_do(Does::Hang);
+    change(&mut site, APPLIED, |config| {
+        classes(config)[0]["deadline"] = json!(400_000);
+        classes(config)[0]["aim"] = json!(200_000);
+    });
+    let from = Instant::now();
+    let status = site.ask("look", "a").status();
+    assert!([502, 503, 504].contains(&status), "{status}");
+    assert!(from.elapsed() < Duration::from_secs(2), "answered after {:?} of 0.4 s", from.elapsed());
+}
+
+#[test]
+fn what_cannot_be_right_leaves_all_as_it_was() {
+    let mut site = site(1, |_| ());
+    let sound = site.config.clone();
+    let other = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let faults: [fn(&mut Value); 5] = [
+        |config| classes(config).clear(),
+        |config| classes(config)[0]["aim"] = json!(-3),
+        |config| classes(config)[0]["deadline"] = json!("soon"),
+        |config| config["settings"]["tenants"] = tenants(100_001),
+        |config| config["discovery"] = json!("nowhere"),
+    ];
+    for fault in faults {
+        site.config = sound.clone();
+        site.config["discovery"] = json!(other);
+        classes(&mut site.config).push(class("quote"));
+        change(&mut site, REJECTED, fault);
+    }
+    let half = sound.to_string();
+    std::fs::write(site.file.path(), &half[..half.len() / 2]).unwrap();
+    reread(&site, REJECTED);
+    std::fs::remove_file(site.file.path()).unwrap();
+    reread(&site, REJECTED);
+    assert_eq!(ask(&site, "quote", "a"), 400);
+    assert_eq!(ask(&site, "pay", "b"), 200);
+    assert_eq!((site.figure(APPLIED), site.figure(REJECTED)), (0, 7));
+    // A file that names discovery alone says nothing of the settings.
+    site.config = json!({"discovery": sound["discovery"]});
+    write(&site);
+    reread(&site, APPLIED);
+    assert_eq!(ask(&site, "pay", "c"), 200);
+}
+
+#[test]
+fn fifty_changes_under_load_lose_nothing() {
+    const ASKERS: usize = 4;
+    let mut site = site(3, |_| ());
+    let (over, asked) = (AtomicBool::new(false), AtomicUsize::new(0));
+    let addr = site.addr;
+    thread::scope(|scope| {
+        for asker in 0..ASKERS {
+            let (over, asked) = (&over, &asked);
+            scope.spawn(move || {
+                let mut stream = TcpStream::connect(addr).unwrap();
+                stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                let mut input = BufReader::new(stream.try_clone().unwrap());
+                for n in 0.. {
+                    if over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let (id, lane) = (format!("r-{asker}-{n}"), ["look", "pay"][n % 2]);
+                    stream.write_all(&request(lane, &id, 60_000)).unwrap();
+                    match Message::read(&mut input).expect("an answer").status() {
+                        200 => drop(asked.fetch_add(1, Ordering::SeqCst)),
+                        // See `status`.
+                        503 => {}
+                        other => panic!("{id} was answered {other}"),
+                    }
+                }
+            });
+        }
+        for round in 0..50 {
+            let name = format!("lane-{round}");
+            change(&mut site, APPLIED, |config| {
+                classes(config).insert(round % 3, class(&name));
+                classes(config).iter_mut().for_each(|class| class["aim"] = json!(10_000_000 + round * 1_000));
+            });
+            assert_eq!(ask(&site, &name, &name), 200);
+            let before = asked.load(Ordering::SeqCst);
+            until("the load goes on", || asked.load(Ordering::SeqCst) >= before + ASKERS);
+        }
+        over.store(true, Ordering::SeqCst);
+    });
+    let served =
+        ["look", "pay"].map(|lane| site.figure(&format!("svc_succeeded_total{{service=\"{lane}\"}}")));
+    assert_eq!(served.iter().sum::<u64>(), asked.load(Ordering::SeqCst) as u64);
+}
+
+#[test]
+fn the_newest_file_is_in_force_after_a_stop_a_kill_and_a_cut() {
+    let mut site = site(1, |_| ());
+    // Stopped: two changes come meanwhile, and the signals become one.
+    site.signal("-STOP");
+    for name in ["first", "second"] {
+        classes(&mut site.config).push(class(name));
+        write(&site);
+        site.signal("-HUP");
+    }
+    site.signal("-CONT");
+    until("the second change is in force", || ask(&site, "second", "a") == 200);
+    assert_eq!(ask(&site, "first", "b"), 200);
+    // Cut off from discovery: what was told before does not wait for it.
+    let nowhere = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    change(&mut site, APPLIED, |config| {
+        config["discovery"] = json!(nowhere.to_string());
+        classes(config).push(class("third"));
+    });
+    assert_eq!(ask(&site, "third", "c"), 200);
+    // Killed between the file and the signal: the next process begins with the file.
+    classes(&mut site.config).push(class("fourth"));
+    write(&site);
+    site.node.kill().unwrap();
+    site.node.wait().unwrap();
+    let (node, addr, operator) = start(site.file.path(), None, &[("BALANCER_OPERATOR", "127.0.0.1:0")]);
+    (site.node, site.addr, site.operator) = (node, addr, operator);
+    assert_eq!(ask(&site, "fourth", "d"), 200);
+}
+
+#[test]
+fn the_tenants_of_the_largest_fleet_are_held_and_changed() {
+    let mut site = site(1, |config| config["settings"]["tenants"] = tenants(TENANTS));
+    assert_eq!(asked_by(&site, "tenant-045999"), 200);
+    assert_eq!(asked_by(&site, "tenant-046000"), 400);
+    change(&mut site, APPLIED, |config| config["settings"]["tenants"] = tenants(TENANTS + 1));
+    assert_eq!(asked_by(&site, "tenant-046000"), 200);
+    assert_eq!(asked_by(&site, "tenant-000000"), 200);
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -5,6 +5,7 @@
 
 mod bodies;
 mod clients;
+mod configuration;
 mod discovery;
 mod leaving;
 mod links;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use proptest::prelude::*;
-use woodgap::settings::{parse, Pairs};
+use woodgap::settings::{parse, succeed, Names, Pairs};
 use woodgap::*;
 
 /// A class as its settings say it.
@@ -107,6 +107,7 @@
         ("bounds.max-retry-after", "9000000000000000000"),
         ("rules.settle-after-doubt", "9000000000000000000"),
         ("tenants.0.quota-per-s", "x"),
+        ("tenants.count", "100001"),
     ] {
         let line = format!("classes.count=1 classes.0.semantics=keyed tenants.count=1 {key}={value}");
         let fault = parse(&Pairs::from_line(&line).unwrap())
@@ -116,3 +117,70 @@
         assert!(text.contains(key) && !text.contains('\n'), "{text}");
     }
 }
+
+fn read(line: &str) -> (Settings, Names) {
+    parse(&Pairs::from_line(line).unwrap()).unwrap()
+}
+
+/// The settings' line of classes by their names, each with an aim of its own.
+fn classes(named: &[(usize, u64)]) -> String {
+    let mut line = format!("classes.count={}", named.len());
+    for (n, (name, aim)) in named.iter().enumerate() {
+        line += &format!(" classes.{n}.name=c{name} classes.{n}.aim={aim} classes.{n}.deadline={aim}");
+    }
+    line
+}
+
+proptest! {
+    // However settings follow each other: what a name meant keeps its place, names in service are the last settings',
+    // each with its figures, and a module that went through all of them holds as many classes.
+    #[test]
+    fn places_last_through_any_succession(
+        rounds in prop::collection::vec(prop::collection::btree_map(0usize..9, 1_000u64..SECOND, 1..7), 1..8)
+    ) {
+        let rounds: Vec<Vec<(usize, u64)>> = rounds.into_iter().map(|round| {
+            // In another order each time.
+            let mut round: Vec<(usize, u64)> = round.into_iter().collect();
+            round.sort_by_key(|(name, aim)| (aim % 7, *name));
+            round
+        }).collect();
+        let (mut settings, mut names) = read(&classes(&rounds[0]));
+        let mut node = Node::new(settings.clone(), (0..4).map(member).collect());
+        for (n, round) in rounds.iter().enumerate().skip(1) {
+            let before = names.clone();
+            let next = succeed((&settings, &names), read(&classes(round))).unwrap();
+            (settings, names) = (next.settings, next.names);
+            prop_assert_eq!(settings.classes.len(), names.classes().len());
+            prop_assert!(names.classes().starts_with(before.classes()));
+            for name in 0..9 {
+                let wanted = round.iter().find(|(known, _)| *known == name).map(|(_, aim)| *aim);
+                let found = names.class(&format!("c{name}")).map(|place| settings.classes[place].aim);
+                prop_assert_eq!(found, wanted);
+            }
+            let held = node.ask(2 * n as u64, names.class(&format!("c{}", round[0].0)).unwrap(), 7);
+            node.event(Event::Settings(Box::new(settings.clone())));
+            prop_assert_eq!(node.ask(2 * n as u64 + 1, settings.classes.len(), 7).len(), 1, "past the last");
+            drop(held);
+        }
+        let again = succeed((&settings, &names), read(&classes(rounds.last().unwrap()))).unwrap();
+        prop_assert!(again.changed.is_nothing() && again.settings == settings);
+    }
+}
+
+#[test]
+fn a_succession_says_what_is_different_and_what_it_will_not_have() {
+    let (settings, names) = read(&(classes(&[(0, 5), (1, 6), (2, 7)]) + " tenants.count=1 tenants.0.name=t"));
+    let next = read(&(classes(&[(3, 1), (1, 8), (0, 5)]) + " registry-mode=ask bounds.max-attempts=4"));
+    let said = succeed((&settings, &names), next).unwrap().changed.to_string();
+    assert_eq!(
+        said,
+        "classes 1 added, 1 altered, 1 withdrawn; tenants 0 added, 0 altered, 1 withdrawn; other figures altered; \
+        registry-mode stays as it was until a restart"
+    );
+    let fault = succeed((&settings, &names), read("group-size=2")).unwrap_err().to_string();
+    assert_eq!(fault, "the settings name no class");
+    let mut line = "classes.count=10000".to_owned();
+    (0..10_000).for_each(|n| line += &format!(" classes.{n}.name=n{n}"));
+    let fault = succeed((&settings, &names), read(&line)).unwrap_err().to_string();
+    assert!(fault.contains("10003 classes") && fault.contains("10000 at most"), "{fault}");
+}
