--- a/tests/node/configuration.rs
+++ b/tests/node/configuration.rs
@@ -156,6 +156,15 @@
     assert_eq!(ask(&site, "pay", "c"), 200);
 }
 
+/// Sets a flag at its end.
+struct Sets<'a>(&'a AtomicBool);
+
+impl Drop for Sets<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 #[test]
 fn fifty_changes_under_load_lose_nothing() {
     const ASKERS: usize = 4;
@@ -163,6 +172,8 @@
     let (over, asked) = (AtomicBool::new(false), AtomicUsize::new(0));
     let addr = site.addr;
     thread::scope(|scope| {
+        // Also where a check fails, or the askers would never end.
+        let _over = Sets(&over);
         for asker in 0..ASKERS {
             let (over, asked) = (&over, &asked);
             scope.spawn(move || {
@@ -194,7 +205,6 @@
             let before = asked.load(Ordering::SeqCst);
             until("the load goes on", || asked.load(Ordering::SeqCst) >= before + ASKERS);
         }
-        over.store(true, Ordering::SeqCst);
     });
     let served =
         ["look", "pay"].map(|lane| site.figure(&format!("svc_succeeded_total{{service=\"{lane}\"}}")));
