--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -5,6 +5,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use woodgap_lab::policy::PolicyKind;
+use woodgap_lab::scale::Role;
 use woodgap_lab::sim::Follow;
 
 /// A world for woodgap nodes to run in: servers, clients, fronts and discovery on loopback, and a
@@ -42,6 +43,10 @@
     Report(Report),
     /// Hold the node against a bare forwarder on the same sockets, by turns
     Bench(Bench),
+    /// Measure what grows with the fleet at growing sizes, and hold it against the fleet that is wanted
+    ///
+    /// Loopback only, one node and one forwarder at a time. docs/CAPACITY.md is written from its results.
+    Scale(Scale),
     /// Measure membership among agents: time to know a death, false failures, healing, cost
     ///
     /// In virtual time, a play a seed; with --agent also on real processes, loopback only.
@@ -50,6 +55,10 @@
     ///
     /// Exit code 1 where a play broke a property; its seed plays it again.
     Duties(Duties),
+    /// Hold what cold servers get from a whole fleet of nodes against what topples them, in virtual time
+    ///
+    /// Exit code 1 where one got more than N + 2 roots of N + 2 requests.
+    Cold(Cold),
     /// List the scenarios that ship, a line each
     Scenarios,
 }
@@ -204,6 +213,57 @@
     }
 }
 
+/// Which plays with cold servers.
+#[derive(Args, Debug)]
+pub struct Cold {
+    /// Fleet sizes
+    #[arg(long, value_delimiter = ',', default_value = "20,30,300", value_name = "N,..",
+        value_parser = clap::value_parser!(u64).range(2..=3_000))]
+    pub nodes: Vec<u64>,
+    /// The first seed
+    #[arg(long, default_value_t = 0, value_name = "SEED")]
+    pub from: u64,
+    /// Servers; by default 20 for less than 100 nodes, else one for ten nodes
+    #[arg(long, value_name = "N", value_parser = clap::value_parser!(u64).range(10..=20_000))]
+    pub servers: Option<u64>,
+    /// Only this story
+    #[arg(long, value_name = "NAME", value_parser = ["start", "rolling", "rush", "refusing", "most", "herd"])]
+    pub story: Option<String>,
+    /// Plays of each story at each size
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=100_000))]
+    pub plays: u64,
+}
+
+/// What is measured of scale.
+#[derive(Args, Debug)]
+pub struct Scale {
+    /// Two sizes and short plays, in under a minute: for CI
+    #[arg(long, conflicts_with = "page")]
+    pub quick: bool,
+    /// Measure one role alone
+    #[arg(long, value_name = "ROLE")]
+    pub only: Option<Role>,
+    /// Where the results are written; with --page, one or more files of earlier runs
+    #[arg(long, value_name = "FILE", required = true)]
+    pub json: Vec<PathBuf>,
+    /// Measure nothing: write the tables of the results in these files into this page
+    #[arg(long, value_name = "PAGE", conflicts_with = "only")]
+    pub page: Option<PathBuf>,
+    /// Start this program as the node, rather than build and run what deploy/balancer.toml names
+    #[arg(long, value_name = "PATH")]
+    pub node: Option<PathBuf>,
+}
+
+impl Scale {
+    /// The one file that a run writes.
+    pub fn output(&self) -> Result<&PathBuf, String> {
+        match &self.json[..] {
+            [file] => Ok(file),
+            _ => Err("--json: a run writes one file".into()),
+        }
+    }
+}
+
 /// Which plays of the duties.
 #[derive(Args, Debug)]
 pub struct Duties {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 pub mod bench;
+pub mod cold;
 pub mod experiment;
 pub mod host;
 pub mod outcome;
@@ -14,6 +15,7 @@
 pub mod policy;
 pub mod referee;
 pub mod report;
+pub mod scale;
 pub mod scenario;
 pub mod sim;
 pub mod terms;
--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -24,6 +24,7 @@
 
 use crate::body::{discard, Fault, Kept, Payload, Reply, Upload, LONGEST_BODY};
 use crate::counts::{Counts, End};
+use crate::descriptors::Descriptors;
 use crate::driver::{Answer, Arrival, Msg};
 use crate::guest::{Guest, Socket, WHOLE_TIMEOUT};
 use crate::horizon::Horizon;
@@ -51,9 +52,11 @@
 pub struct Clients {
     setup: RefCell<Arc<Setup>>,
     servers: Rc<Servers>,
-    /// Sockets of clients, of all, and of clients that are only told to go.
+    /// Sockets of clients, and of clients that are only told to go.
     budget: Rc<Budget>,
     overflow: Rc<Budget>,
+    /// Requests whose body passes as it comes.
+    uploads: Rc<Budget>,
     counts: Rc<Counts>,
     tx: mpsc::UnboundedSender<Msg>,
     next_id: Cell<u64>,
@@ -82,15 +85,16 @@
     pub fn new(
         setup: Arc<Setup>,
         servers: Rc<Servers>,
-        budgets: (Rc<Budget>, Rc<Budget>),
+        descriptors: &Descriptors,
         counts: Rc<Counts>,
         tx: mpsc::UnboundedSender<Msg>,
     ) -> Rc<Self> {
         Rc::new(Clients {
             setup: RefCell::new(setup),
             servers,
-            budget: budgets.0,
-            overflow: budgets.1,
+            budget: descriptors.clients.clone(),
+            overflow: descriptors.overflow.clone(),
+            uploads: descriptors.uploads.clone(),
             counts,
             tx,
             next_id: Cell::new(1),
@@ -198,10 +202,10 @@
         if !refuse {
             self.guests.borrow_mut().insert(number, guest.clone());
         }
-        let (clients, asks) = (self.clone(), guest.clone());
         let stream = Rc::new(stream);
+        let (clients, asks, socket) = (self.clone(), guest.clone(), stream.clone());
         let service = service_fn(move |request| {
-            let (clients, guest) = (clients.clone(), asks.clone());
+            let (clients, guest, socket) = (clients.clone(), asks.clone(), socket.clone());
             async move {
                 let mut response = if refuse {
                     if let Some(class) = clients.class_of(request.headers()) {
@@ -209,7 +213,7 @@
                     }
                     clients.refusal(Some(OVERFULL))
                 } else {
-                    clients.handle(request, &guest).await
+                    clients.handle(request, &guest, &socket).await
                 };
                 // One that passes in pieces says so itself at its end.
                 if matches!(response.body(), Reply::Whole(_)) {
@@ -309,7 +313,12 @@
         let _ = timeout(Duration::from_micros(longest) + DRAIN, all_ended).await;
     }
 
-    async fn handle(self: &Rc<Self>, request: Request<Incoming>, guest: &Rc<Guest>) -> Response<Reply> {
+    async fn handle(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+        guest: &Rc<Guest>,
+        socket: &Rc<TcpStream>,
+    ) -> Response<Reply> {
         guest.asks();
         if guest.has_two_framings() {
             self.counts.malformed.add();
@@ -320,7 +329,7 @@
                 let ready = self.is_ready();
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
-            "/api" => self.call(request, guest).await.unwrap_or_else(|(status, why)| {
+            "/api" => self.call(request, guest, socket).await.unwrap_or_else(|(status, why)| {
                 self.counts.malformed.add();
                 plain(status, why)
             }),
@@ -332,6 +341,7 @@
         self: &Rc<Self>,
         request: Request<Incoming>,
         guest: &Rc<Guest>,
+        socket: &Rc<TcpStream>,
     ) -> Result<Response<Reply>, (StatusCode, &'static str)> {
         let bad = |why| (StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
@@ -368,7 +378,9 @@
             Payload::Coming(upload) => (Some(upload.clone()), None),
             Payload::Whole(_) => (None, Some(self.horizon.deadline(patience))),
         };
-        if self.held.get() >= setup.figures.open_cap {
+        // One that passes as it comes keeps a server's socket for as long as its client likes.
+        let passing = upload.as_ref().map(|_| self.uploads.take());
+        if self.held.get() >= setup.figures.open_cap || matches!(passing, Some(None)) {
             self.counts.ended(class, End::Refused);
             upload.into_iter().for_each(|upload| drop(spawn_local(upload.discard())));
             return Ok(self.refusal(Some(OVERFULL)));
@@ -384,7 +396,7 @@
         drop_hop_headers(&mut headers);
         let id = self.next_number();
         let (reply, answer) = oneshot::channel();
-        let presence = Presence::default();
+        let presence = Presence::new(socket);
         let arrival = Arrival {
             id,
             class: ClassId(class),
@@ -396,7 +408,7 @@
             call: Rc::new(Call { method: head.method, target, headers, body, client: presence.view() }),
             reply,
         };
-        let waiting = Waiting::new(self, id, class, upload.is_some(), presence);
+        let waiting = Waiting::new(self, id, class, passing.flatten(), presence);
         let answer = match self.tx.send(Msg::Request(Box::new(arrival))) {
             Ok(()) => self.answer(answer, &waiting, upload).await.map_err(fault)?,
             Err(_) => Answer::Refused(Some(OVERFULL)),
@@ -511,7 +523,8 @@
     clients: Rc<Clients>,
     id: u64,
     class: usize,
-    coming: Cell<bool>,
+    /// Its body is coming.
+    coming: RefCell<Option<Permit>>,
     /// It has had its ending, which is counted.
     ended: Cell<bool>,
     /// Lets attempts be written.
@@ -519,16 +532,16 @@
 }
 
 impl Waiting {
-    fn new(clients: &Rc<Clients>, id: u64, class: usize, coming: bool, presence: Presence) -> Self {
+    fn new(clients: &Rc<Clients>, id: u64, class: usize, coming: Option<Permit>, presence: Presence) -> Self {
         clients.held.set(clients.held.get() + 1);
-        clients.coming.set(clients.coming.get() + usize::from(coming));
+        clients.coming.set(clients.coming.get() + usize::from(coming.is_some()));
         let clients = clients.clone();
-        let (coming, ended) = (Cell::new(coming), Cell::new(false));
+        let (coming, ended) = (RefCell::new(coming), Cell::new(false));
         Waiting { clients, id, class, coming, ended, _presence: presence }
     }
 
     fn is_whole(&self) {
-        if self.coming.replace(false) {
+        if self.coming.take().is_some() {
             self.clients.coming.set(self.clients.coming.get() - 1);
         }
     }
--- a/src/bin/woodgap/config.rs
+++ b/src/bin/woodgap/config.rs
@@ -10,7 +10,7 @@
 use woodgap::settings::Changed;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::discovery::List;
+use crate::list::{Form, List};
 use crate::setup::Setup;
 
 /// The file's form; unknown keys are ignored.
@@ -29,8 +29,7 @@
     #[serde(default)]
     peers: Vec<String>,
     peers_all: Option<String>,
-    #[serde(default)]
-    known: Value,
+    known: Option<Form>,
     #[serde(default)]
     settings: Value,
 }
@@ -65,8 +64,9 @@
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
-    /// The list as this node last had it.
+    /// The list as this node last had it, and what is wrong with it.
     pub known: List,
+    pub complaint: Option<String>,
     pub setup: Setup,
 }
 
@@ -85,6 +85,12 @@
         let parse = |text: &String| -> Result<SocketAddr, Box<dyn Error>> {
             Ok(text.parse().map_err(|e| format!("peer '{text}': {e}"))?)
         };
+        // Without it the node starts as well: discovery has the list.
+        let known = file.known.map_or(Ok(List::default()), |form| form.list(text.len()));
+        let complaint = match &known {
+            Ok(known) => known.complaint(),
+            Err(error) => Some(error.to_string()),
+        };
         Ok(Config {
             name: env.get("BALANCER_NAME").cloned().unwrap_or(file.name),
             listen: address("BALANCER_LISTEN", file.listen)?,
@@ -97,7 +103,8 @@
             peer_listen: file.peer_listen.as_ref().map(parse).transpose()?,
             peers: file.peers.iter().map(parse).collect::<Result<_, _>>()?,
             peers_all: file.peers_all.as_ref().map(parse).transpose()?,
-            known: List::from_value(&file.known).unwrap_or_default(),
+            known: known.unwrap_or_default(),
+            complaint,
             setup: Setup::read(&file.settings)?,
         })
     }
@@ -105,6 +112,12 @@
     /// A file that has replaced the first: discovery's address, and what takes the place of `setup`, if its settings
     /// are other ones. The environment is not asked: its words are those of the start.
     pub fn read_again(text: &str, setup: &Setup) -> Result<Again, Box<dyn Error>> {
+        #[derive(Deserialize)]
+        struct File {
+            discovery: Option<String>,
+            #[serde(default)]
+            settings: Value,
+        }
         let file: File = serde_json::from_str(text)?;
         let discovery = file.discovery.ok_or("the file names no discovery")?.parse()?;
         // A file may name discovery alone.
@@ -128,32 +141,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn settings_are_read_as_the_simulator_writes_them() {
-        let text = r#"{"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 77}, "later": [],
-            "known": {"revision": 1, "complete": true, "members": [7]},
-            "settings": {"group-size": 3, "classes": [{"name": "pay", "aim": 5e5, "deadline": 1000000,
-                "semantics": "unsafe"}], "bounds": {"max-attempts": 5, "may-probe": true},
-                "report": {"fields": ["queue", "util"]}}}"#;
-        let env = HashMap::from([("BALANCER_LISTEN".to_owned(), "127.0.0.1:9".to_owned())]);
-        let config = Config::read(text, &env).unwrap();
-        assert_eq!((config.seed, config.sockets, config.listen.port()), (0xff, 77, 9));
-        assert_eq!((config.setup.settings.group_size, config.setup.settings.max_attempts), (3, 5));
-        assert_eq!(
-            (config.setup.settings.classes[0].aim, config.setup.names.class("pay")),
-            (500_000, Some(0))
-        );
-        assert!(config.setup.settings.may_probe && config.known.entries.is_empty());
-        assert_eq!(config.setup.figures.report, ["queue", "util"]);
-        assert!(config.operator.is_none(), "off where nobody names it");
-        let env = HashMap::from([("BALANCER_OPERATOR".to_owned(), "127.0.0.1:8".to_owned())]);
-        assert_eq!(Config::read(text, &env).unwrap().operator.unwrap().port(), 8);
-        let named = text.replace("\"later\": []", "\"operator\": \"127.0.0.1:7\"");
-        assert_eq!(Config::read(&named, &HashMap::new()).unwrap().operator.unwrap().port(), 7);
-        assert!(Config::read("{}", &HashMap::new()).is_err());
-    }
-}
+mod tests;
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -9,11 +9,13 @@
 mod clients;
 mod config;
 mod counts;
+mod descriptors;
 mod discovery;
 mod driver;
 mod guest;
 mod horizon;
 mod inherit;
+mod list;
 mod log;
 mod operator;
 mod peers;
@@ -23,8 +25,9 @@
 mod stream;
 mod task;
 
+use std::collections::HashMap;
 use std::error::Error;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -38,20 +41,18 @@
 use clients::Clients;
 use config::{Again, Config};
 use counts::Counts;
+use descriptors::Descriptors;
 use driver::{Driver, Msg};
-use operator::{Operator, CALLERS};
+use operator::Operator;
 use peers::Peers;
 use servers::Servers;
 use setup::Setup;
-use task::Budget;
 
-/// Descriptors that are not sockets of clients or servers: the standard ones, the runtime's, the
-/// listener, discovery and the peers' socket, about ten, and some that the system has not closed yet.
-const RESERVE: usize = 24;
+/// The longest configuration, read before the memory limit is known that it names: a third of what a node has that
+/// is told none.
+const LONGEST_CONFIG: u64 = 64 << 20;
 /// The part of the memory limit that whole bodies may take.
 const KEPT_PART: usize = 6;
-/// Connections past the budget that are told so at a time.
-const OVERFLOW: usize = 32;
 
 async fn run(
     config: Config,
@@ -78,29 +79,34 @@
         None => None,
     };
     let (tx, rx) = mpsc::unbounded_channel();
-    // Clients use up to a third of the descriptors for their requests, and each of these needs a
-    // server's socket too. The rest is for peers that only connect, so that they keep no client out.
-    let operators = config.operator.map_or(0, |_| CALLERS + 1);
-    let all = config.sockets.saturating_sub(RESERVE + OVERFLOW + operators).max(2);
-    let places = all.saturating_sub(config.sockets / 3).max(1);
+    let allowed = descriptors::allowed().unwrap_or(config.sockets);
+    if allowed < config.sockets {
+        log::line(format_args!(
+            "limits.sockets is {}, the system allows {allowed} descriptors: these are shared out",
+            config.sockets
+        ));
+    }
+    let descriptors = Descriptors::share_out(config.sockets.min(allowed), config.operator.is_some())?;
     let counts = Counts::new(config.setup.names.classes());
     // The rest is for the connections' own buffers, and for a process beside this one.
     let memory = Memory::new(config.memory / KEPT_PART);
-    let servers = Servers::new(config.setup.figures.clone(), Budget::new(all), memory, counts.clone());
-    let mut driver = Driver::new(&config, servers.clone(), peers.clone(), counts.clone(), tx.clone());
+    let sockets = (descriptors.shared.clone(), descriptors.probes.clone());
+    let servers = Servers::new(config.setup.figures.clone(), sockets, memory, counts.clone());
+    let watches = descriptors.watches.clone();
+    let mut driver =
+        Driver::new(&config, servers.clone(), peers.clone(), counts.clone(), watches, tx.clone());
     let bans = config.operator.map(|_| Bans::open(config.scratch.as_deref(), &config.name));
-    driver.start(&config.known, bans);
-    let clients = Clients::new(
-        Arc::new(config.setup),
-        servers.clone(),
-        (Budget::new(places), Budget::new(OVERFLOW)),
-        counts.clone(),
-        tx.clone(),
-    );
+    if let Some(complaint) = &config.complaint {
+        log::line(format_args!("the configuration's list: {complaint}"));
+    }
+    driver.start(config.known, bans);
+    let clients =
+        Clients::new(Arc::new(config.setup), servers.clone(), &descriptors, counts.clone(), tx.clone());
     if let Some(addr) = config.operator {
         let listener = bind(addr).await?;
         log::line(format_args!("operators call at {}", listener.local_addr()?));
-        let operator = Operator::new(clients.clone(), servers, counts.clone(), tx.clone());
+        let sockets = descriptors.operators.clone();
+        let operator = Operator::new(clients.clone(), servers, counts.clone(), sockets, tx.clone());
         spawn_local(operator.accept(listener));
     }
     spawn_local({
@@ -156,23 +162,42 @@
 
 /// The configuration, read again on a thread of its own: a large one takes longer than requests may wait.
 async fn read_again(path: PathBuf, setup: Arc<Setup>) -> Result<Again, String> {
-    let read = move || {
-        let text = std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
-        Config::read_again(&text, &setup).map_err(|error| format!("{}: {error}", path.display()))
+    let again = move || {
+        let text = read(&path)?;
+        Config::read_again(&text, &setup).map_err(|error| odd(&path, text.len(), &*error))
     };
-    spawn_blocking(read).await.map_err(|error| error.to_string())?
+    spawn_blocking(again).await.map_err(|error| error.to_string())?
+}
+
+/// The configuration's text.
+fn read(path: &Path) -> Result<String, String> {
+    let told = |error: std::io::Error| format!("{}: {error}", path.display());
+    let bytes = std::fs::metadata(path).map_err(told)?.len();
+    if bytes > LONGEST_CONFIG {
+        return Err(format!("{}: {bytes} bytes are too many, {LONGEST_CONFIG} are the most", path.display()));
+    }
+    std::fs::read_to_string(path).map_err(told)
+}
+
+/// What is wrong with it.
+fn odd(path: &Path, bytes: usize, error: &dyn Error) -> String {
+    format!("{} of {bytes} bytes: {error}", path.display())
+}
+
+/// Reads the configuration; its text is not held any longer.
+fn configured(path: &Path, env: &HashMap<String, String>) -> Result<Config, String> {
+    let text = read(path)?;
+    Config::read(&text, env).map_err(|error| odd(path, text.len(), &*error))
 }
 
 fn start() -> Result<(), Box<dyn Error>> {
-    let env: std::collections::HashMap<String, String> = std::env::vars_os()
+    let env: HashMap<String, String> = std::env::vars_os()
         .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)))
         .collect();
     let inherited = env.get("BALANCER_FD").map(|fd| inherit::listener(fd)).transpose();
     let inherited = inherited.map_err(|error| format!("BALANCER_FD: {error}"))?;
-    let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-    let path = PathBuf::from(path);
-    let config = Config::read(&text, &env)?;
+    let path = PathBuf::from(env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?);
+    let config = configured(&path, &env)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(run(config, path, inherited)))
 }
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -140,7 +140,7 @@
 }
 
 /// The connections that come to a listener.
-fn connections(listener: TcpListener) -> Receiver<TcpStream> {
+pub fn connections(listener: TcpListener) -> Receiver<TcpStream> {
     let (tx, connections) = channel();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -165,6 +165,9 @@
         let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
         listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
         listener.listen(0).unwrap();
+        // Connections tell when what they read had come, to those that ask.
+        nix::sys::socket::setsockopt(&listener, nix::sys::socket::sockopt::ReceiveTimestampns, &true)
+            .unwrap();
         let addr = listener.local_addr().unwrap().as_socket().unwrap();
         let mut fillers = Vec::new();
         while let Ok(filler) = TcpStream::connect_timeout(&addr, Duration::from_millis(300)) {
@@ -175,16 +178,23 @@
 
     /// How many connections to it are on their way.
     pub fn knocking(&self) -> usize {
+        self.callers().len()
+    }
+
+    /// From where they come.
+    pub fn callers(&self) -> Vec<String> {
         let (port, syn_sent) = (format!("0100007F:{:04X}", self.addr.port()), "02");
         let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
         let fields = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
-        fields.filter(|f| f.get(2) == Some(&port.as_str()) && f.get(3) == Some(&syn_sent)).count()
+        let knocking = fields.filter(|f| f.get(2) == Some(&port.as_str()) && f.get(3) == Some(&syn_sent));
+        knocking.map(|f| f[1].to_owned()).collect()
     }
 
     /// Lets them come up and hands on those that do.
     pub fn open(self) -> Receiver<TcpStream> {
         let Late { listener, fillers, .. } = self;
-        listener.listen(64).unwrap();
+        // All that knock come up at once: one that is turned back here would write, and be read, much later.
+        listener.listen(1024).unwrap();
         let listener = TcpListener::from(listener);
         for _ in &fillers {
             drop(listener.accept().unwrap());
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -6,12 +6,16 @@
 mod bodies;
 mod clients;
 mod configuration;
+mod descriptors;
 mod discovery;
+mod gone;
 mod leaving;
 mod links;
+mod lists;
 mod operators;
 mod requests;
 mod restart;
+mod told;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
