--- a/lab/src/scale/configuration.rs
+++ b/lab/src/scale/configuration.rs
@@ -1,4 +1,4 @@
-//! Measures what brings configuration to a node: today its file at the start, and SIGHUP, which reads one address of it.
+//! Measures what brings configuration to a node: its file at the start, and SIGHUP, which puts a later one into force.
 
 use std::time::{Duration, Instant};
 
@@ -39,7 +39,7 @@
         target: target::TENANTS as f64,
         budget: Some(0.0),
         loss: Loss::Fleet,
-        carried_by: "the file that is read at the start, whole; 10,000 items of a list at the most",
+        carried_by: "the file that is read at the start, whole; 100,000 tenants at the most",
     };
     let lost = About {
         aspect: Aspect::Messages,
@@ -48,7 +48,7 @@
         of: "changes a day",
         target: target::CHANGES_A_DAY as f64,
         loss: Loss::Part,
-        carried_by: "nothing: SIGHUP re-reads discovery's address alone",
+        carried_by: "SIGHUP: all settings of the file, in place, or none",
         ..about
     };
     let file = About {
--- a/src/bin/woodgap/counts.rs
+++ b/src/bin/woodgap/counts.rs
@@ -73,8 +73,8 @@
     /// New configurations taken over and left alone.
     pub sighup_applied: Count,
     pub sighup_rejected: Count,
-    /// Ends of requests by class.
-    ends: RefCell<Vec<Ends>>,
+    /// Ends of requests by class: one count for each name, whatever places it has had.
+    ends: RefCell<Vec<Rc<Ends>>>,
     /// Attempts by outcome.
     attempts: [Count; OUTCOMES.len()],
     /// What the last report read.
@@ -104,9 +104,22 @@
     /// There are these classes: those that were keep their places and counts.
     pub fn name(&self, classes: &[String]) {
         let mut ends = self.ends.borrow_mut();
-        let more = classes.iter().skip(ends.len());
-        let more: Vec<Ends> = more.map(|class| Ends { class: class.clone(), ..Ends::default() }).collect();
-        ends.extend(more);
+        for class in classes.iter().skip(ends.len()) {
+            let known = ends.iter().find(|ends| ends.class == *class).cloned();
+            let new = || Rc::new(Ends { class: class.clone(), ..Ends::default() });
+            ends.push(known.unwrap_or_else(new));
+        }
+    }
+
+    /// The counts of all names, each once.
+    fn ends(&self) -> Vec<Rc<Ends>> {
+        let mut all: Vec<Rc<Ends>> = Vec::new();
+        for ends in self.ends.borrow().iter() {
+            if !all.iter().any(|known| Rc::ptr_eq(known, ends)) {
+                all.push(ends.clone());
+            }
+        }
+        all
     }
 
     /// A request of a class has ended.
@@ -132,7 +145,7 @@
 
     /// What came since the last report.
     pub fn report(&self) -> String {
-        let ends = self.ends.borrow();
+        let ends = self.ends();
         let all = |end| ends.iter().map(|ends| ends.of(end).get()).sum();
         let mut now = vec![
             ("connected", self.accepted.get()),
@@ -170,7 +183,7 @@
             ("aborted_total", "Requests failed.", End::Failed),
         ] {
             head(&mut text, name, help, "counter");
-            for ends in self.ends.borrow().iter() {
+            for ends in &self.ends() {
                 let (class, count) = (escaped(&ends.class), ends.of(end).get());
                 let _ = writeln!(text, "svc_{name}{{service=\"{class}\"}} {count}");
             }
--- a/src/settings/succession.rs
+++ b/src/settings/succession.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::fmt;
 
-use crate::api::Settings;
+use crate::api::{Class, Settings, Tenant};
 
 use super::{Fault, Names, Roll, MOST_CLASSES, MOST_TENANTS};
 
@@ -69,10 +69,14 @@
     if names.classes.places.is_empty() && !had.classes.places.is_empty() {
         return Err(Fault::new("the settings name no class".into()));
     }
+    // What was sent as unsafe stays unsafe: a class that may be repeated otherwise is another one, at another place.
+    let classes =
+        Kind { what: "classes", most: MOST_CLASSES, same: |a: &Class, b| a.semantics == b.semantics };
     let (classes, class_names, class_moves) =
-        follow(("classes", MOST_CLASSES), (&was.classes, &had.classes), (&new.classes, &names.classes))?;
+        classes.follow((&was.classes, &had.classes), (&new.classes, &names.classes))?;
+    let tenants = Kind { what: "tenants", most: MOST_TENANTS, same: |_: &Tenant, _| true };
     let (tenants, tenant_names, tenant_moves) =
-        follow(("tenants", MOST_TENANTS), (&was.tenants, &had.tenants), (&new.tenants, &names.tenants))?;
+        tenants.follow((&was.tenants, &had.tenants), (&new.tenants, &names.tenants))?;
     let mut kept = Vec::new();
     if new.discovery != was.discovery {
         kept.push("registry-mode");
@@ -90,40 +94,50 @@
     Ok(Succession { settings, names: Names { classes: class_names, tenants: tenant_names }, changed })
 }
 
-fn follow<T: Clone + PartialEq>(
-    (what, most): (&str, usize),
-    (was, had): (&[T], &Roll),
-    (new, names): (&[T], &Roll),
-) -> Result<(Vec<T>, Roll, Moves), Fault> {
-    let mut known: HashMap<&str, usize> = HashMap::with_capacity(had.names.len());
-    for (place, name) in had.names.iter().enumerate() {
-        known.entry(name).or_insert(place);
-    }
-    let (mut items, mut roll) = (was.to_vec(), Roll { names: had.names.clone(), places: HashMap::new() });
-    let mut moves = Moves::default();
-    let mut seen = HashSet::with_capacity(names.names.len());
-    for (name, item) in names.names.iter().zip(new).filter(|(name, _)| seen.insert(name.as_str())) {
-        match known.get(name.as_str()) {
-            Some(&place) => {
-                let serves = had.places.contains_key(name);
-                moves.added += usize::from(!serves);
-                moves.altered += usize::from(serves && items[place] != *item);
-                items[place] = item.clone();
-                roll.places.insert(name.clone(), place);
-            }
-            None => {
-                moves.added += 1;
-                items.push(item.clone());
-                roll.push(name.clone());
+/// One of the two lists.
+struct Kind<T> {
+    what: &'static str,
+    most: usize,
+    /// Whether two items of one name may have one place.
+    same: fn(&T, &T) -> bool,
+}
+
+impl<T: Clone + PartialEq> Kind<T> {
+    fn follow(
+        &self,
+        (was, had): (&[T], &Roll),
+        (new, names): (&[T], &Roll),
+    ) -> Result<(Vec<T>, Roll, Moves), Fault> {
+        let mut known: HashMap<&str, Vec<usize>> = HashMap::with_capacity(had.names.len());
+        for (place, name) in had.names.iter().enumerate() {
+            known.entry(name).or_default().push(place);
+        }
+        let (mut items, mut roll) = (was.to_vec(), Roll { names: had.names.clone(), places: HashMap::new() });
+        let mut moves = Moves::default();
+        let mut seen = HashSet::with_capacity(names.names.len());
+        for (name, item) in names.names.iter().zip(new).filter(|(name, _)| seen.insert(name.as_str())) {
+            let served = had.places.get(name);
+            moves.added += usize::from(served.is_none());
+            moves.altered += usize::from(served.is_some_and(|&place| was[place] != *item));
+            let places = known.get(name.as_str()).into_iter().flatten();
+            match places.copied().find(|&place| (self.same)(&was[place], item)) {
+                Some(place) => {
+                    items[place] = item.clone();
+                    roll.places.insert(name.clone(), place);
+                }
+                None => {
+                    items.push(item.clone());
+                    roll.push(name.clone());
+                }
             }
         }
+        let (count, Kind { what, most, .. }) = (items.len(), self);
+        if count > *most {
+            return Err(Fault::new(format!(
+                "{count} {what} with those that were withdrawn since the start are too many, {most} at most"
+            )));
+        }
+        moves.withdrawn = had.places.keys().filter(|name| !roll.places.contains_key(*name)).count();
+        Ok((items, roll, moves))
     }
-    if items.len() > most {
-        let count = items.len();
-        return Err(Fault::new(format!(
-            "{count} {what} with those that were withdrawn since the start are too many, {most} at most"
-        )));
-    }
-    moves.withdrawn = had.places.keys().filter(|name| !roll.places.contains_key(*name)).count();
-    Ok((items, roll, moves))
 }
--- a/tests/node/configuration.rs
+++ b/tests/node/configuration.rs
@@ -250,3 +250,26 @@
     assert_eq!(asked_by(&site, "tenant-046000"), 200);
     assert_eq!(asked_by(&site, "tenant-000000"), 200);
 }
+
+#[test]
+fn a_class_that_becomes_safe_is_not_repeated_for_what_was_sent_before() {
+    let mut site = site(2, |_| ());
+    site.all_do(Does::Hold);
+    let mut stream = site.dial();
+    stream.write_all(&request("pay", "held", 60_000)).unwrap();
+    let mut came = Vec::new();
+    until("it reached a server", || {
+        came.extend(site.requests());
+        !came.is_empty()
+    });
+    change(&mut site, APPLIED, |config| classes(config)[1]["semantics"] = json!("safe"));
+    site.all_do(Does::Break);
+    assert_eq!(Message::read(&mut BufReader::new(stream)).expect("an answer").status(), 502);
+    came.extend(site.requests());
+    assert_eq!(came.len(), 1, "it may have run");
+    // Under the new word it is repeated, and both are one class of the figures.
+    assert_eq!(site.ask("pay", "free").status(), 503, "refused, as trying again is harmless now");
+    assert!(site.requests().len() > 1);
+    assert_eq!(site.figure("svc_aborted_total{service=\"pay\"}"), 1);
+    assert_eq!(site.figure("svc_declined_total{service=\"pay\"}"), 1);
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -187,3 +187,16 @@
     let fault = succeed((&settings, &names), read(&line)).unwrap_err().to_string();
     assert!(fault.contains("10003 classes") && fault.contains("10000 at most"), "{fault}");
 }
+
+#[test]
+fn a_class_that_may_be_repeated_otherwise_has_another_place() {
+    let line = |semantics: &str| format!("classes.count=1 classes.0.name=c classes.0.semantics={semantics}");
+    let (settings, names) = read(&line("unsafe"));
+    let next = succeed((&settings, &names), read(&line("safe"))).unwrap();
+    assert_eq!((next.names.class("c"), next.settings.classes.len()), (Some(1), 2));
+    assert_eq!(next.settings.classes[0].semantics, Semantics::Unsafe, "what is out under it stays unsafe");
+    assert_eq!(next.changed.to_string(), "classes 0 added, 1 altered, 0 withdrawn");
+    // And back: no place is added each time.
+    let last = succeed((&next.settings, &next.names), read(&line("unsafe"))).unwrap();
+    assert_eq!((last.names.class("c"), last.settings.classes.len()), (Some(0), 2));
+}
