--- a/lab/src/policy/baseline.rs
+++ b/lab/src/policy/baseline.rs
@@ -131,6 +131,7 @@
                 }
                 self.relist();
             }
+            Event::Settings(settings) => self.settings = *settings,
             Event::Request(request) => {
                 let (id, deadline) = (request.id, now + request.patience);
                 let held = Held { request, deadline, tried: Vec::new(), may_have_run: false };
--- a/lab/src/wire/mod.rs
+++ b/lab/src/wire/mod.rs
@@ -163,6 +163,7 @@
         Event::Timer(timer) => writeln!(out, "TIMEOUT_FIRED {}", timer.0),
         Event::Whole { .. } => return Err(WireError::NoWord("a body that comes in pieces")),
         Event::Maintenance { .. } => return Err(WireError::NoWord("a server taken out by operators")),
+        Event::Settings(_) => return Err(WireError::NoWord("settings that change")),
         Event::Started { .. } => return Err(WireError::NoWord("a streamed answer")),
         Event::Peer { .. } => return Err(WireError::NoWord("a message between nodes")),
     };
