--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod presence;
 mod servers;
+mod setup;
 mod stream;
 mod task;
 
@@ -28,22 +29,24 @@
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::{spawn_blocking, spawn_local, LocalSet};
 
 use bans::Bans;
 use body::Memory;
 use clients::Clients;
-use config::Config;
+use config::{Again, Config};
 use counts::Counts;
 use descriptors::Descriptors;
 use driver::{Driver, Msg};
 use operator::Operator;
 use peers::Peers;
 use servers::Servers;
+use setup::Setup;
 
 /// The longest configuration, read before the memory limit is known that it names: a third of what a node has that
 /// is told none.
@@ -84,11 +87,11 @@
         ));
     }
     let descriptors = Descriptors::share_out(config.sockets.min(allowed), config.operator.is_some())?;
-    let counts = Counts::new(config.names.classes());
+    let counts = Counts::new(config.setup.names.classes());
     // The rest is for the connections' own buffers, and for a process beside this one.
     let memory = Memory::new(config.memory / KEPT_PART);
     let sockets = (descriptors.shared.clone(), descriptors.probes.clone());
-    let servers = Servers::new(config.figures.clone(), sockets, memory, counts.clone());
+    let servers = Servers::new(config.setup.figures.clone(), sockets, memory, counts.clone());
     let watches = descriptors.watches.clone();
     let mut driver =
         Driver::new(&config, servers.clone(), peers.clone(), counts.clone(), watches, tx.clone());
@@ -97,15 +100,8 @@
         log::line(format_args!("the configuration's list: {complaint}"));
     }
     driver.start(config.known, bans);
-    let clients = Clients::new(
-        config.settings,
-        config.names,
-        config.figures.open_cap,
-        servers.clone(),
-        &descriptors,
-        counts.clone(),
-        tx.clone(),
-    );
+    let clients =
+        Clients::new(Arc::new(config.setup), servers.clone(), &descriptors, counts.clone(), tx.clone());
     if let Some(addr) = config.operator {
         let listener = bind(addr).await?;
         log::line(format_args!("operators call at {}", listener.local_addr()?));
@@ -113,18 +109,28 @@
         let operator = Operator::new(clients.clone(), servers, counts.clone(), sockets, tx.clone());
         spawn_local(operator.accept(listener));
     }
-    let news = tx.clone();
-    spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            match new_discovery(&path) {
-                Ok(addr) => {
-                    counts.sighup_applied.add();
-                    log::line(format_args!("discovery moves to {addr}"));
-                    let _ = news.send(Msg::Discovery(addr));
-                }
-                Err(error) => {
-                    counts.sighup_rejected.add();
-                    log::line(format_args!("the new configuration is left alone: {error}"));
+    spawn_local({
+        let (clients, news) = (clients.clone(), tx.clone());
+        async move {
+            let mut discovery = config.discovery;
+            while hangup.recv().await.is_some() {
+                match read_again(path.clone(), clients.setup()).await {
+                    Ok(Again { discovery: addr, next }) => {
+                        if let Some((setup, changed)) = next {
+                            log::line(format_args!("new settings: {changed}"));
+                            clients.go_by(Arc::new(setup));
+                        }
+                        // A watch that is open at the same address goes on.
+                        if std::mem::replace(&mut discovery, addr) != addr {
+                            log::line(format_args!("discovery moves to {addr}"));
+                            let _ = news.send(Msg::Discovery(addr));
+                        }
+                        counts.sighup_applied.add();
+                    }
+                    Err(error) => {
+                        counts.sighup_rejected.add();
+                        log::line(format_args!("the new configuration is left alone: {error}"));
+                    }
                 }
             }
         }
@@ -154,10 +160,13 @@
     TcpListener::bind(addr).await.map_err(|error| format!("{addr}: {error}"))
 }
 
-/// Discovery's address, read again from the configuration.
-fn new_discovery(path: &Path) -> Result<std::net::SocketAddr, Box<dyn Error>> {
-    let text = read(path)?;
-    Config::read_discovery(&text).map_err(|error| odd(path, text.len(), &*error).into())
+/// The configuration, read again on a thread of its own: a large one takes longer than requests may wait.
+async fn read_again(path: PathBuf, setup: Arc<Setup>) -> Result<Again, String> {
+    let again = move || {
+        let text = read(&path)?;
+        Config::read_again(&text, &setup).map_err(|error| odd(&path, text.len(), &*error))
+    };
+    spawn_blocking(again).await.map_err(|error| error.to_string())?
 }
 
 /// The configuration's text.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -380,16 +380,13 @@
 impl Balancer {
     /// A node at its start. `seed` feeds its random choices and nothing that nodes agree on.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let norm = |c: &Class| Norm { mean: c.aim as f64 / 4.0, cost: 0.0, answers: 0.0, rates: [0.0; 2] };
-        let shortest = settings.classes.iter().map(|c| c.aim).min().unwrap_or(Micros::MAX);
         let mut rng = Rng::with_seed(seed);
-        let place = settings.me.map(|me| f64::from(me) / f64::from(settings.group_size));
-        Balancer {
-            place: place.unwrap_or_else(|| rng.f64()),
+        let mut balancer = Balancer {
+            place: settings.me.map_or_else(|| rng.f64(), |me| f64::from(me) / f64::from(settings.group_size)),
             settles: Some(Micros::MAX),
             ripe: Vec::new(),
-            sweep: (shortest / SWEEPS_AN_AIM).clamp(SWEEP_LEAST, SWEEP),
-            tenant_rates: vec![0.0; settings.tenants.len()],
+            sweep: SWEEP,
+            tenant_rates: Vec::new(),
             rng,
             now: 0,
             servers: Vec::new(),
@@ -401,7 +398,7 @@
             inflight: 0,
             requests: HashMap::new(),
             turns: BTreeMap::new(),
-            norms: settings.classes.iter().map(norm).collect(),
+            norms: Vec::new(),
             spread: (0.0, 0.0),
             silent: BTreeMap::new(),
             kinds: BTreeMap::new(),
@@ -412,8 +409,25 @@
             mood: Mood { limit: f64::INFINITY, able: f64::INFINITY, ..Mood::default() },
             refusals: Some(0),
             called: 0,
-            settings,
+            settings: Settings::default(),
+        };
+        balancer.on_settings(settings);
+        balancer
+    }
+
+    /// Settings in place of those there are, at the same places: what is held and learnt goes by these.
+    fn on_settings(&mut self, settings: Settings) {
+        let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
+        if classes < self.norms.len() || tenants < self.tenant_rates.len() {
+            return;
         }
+        let norm = |c: &Class| Norm { mean: c.aim as f64 / 4.0, cost: 0.0, answers: 0.0, rates: [0.0; 2] };
+        self.norms.extend(settings.classes[self.norms.len()..].iter().map(norm));
+        self.servers.iter_mut().for_each(|server| server.bars.resize(classes, Bar::default()));
+        self.tenant_rates.resize(tenants, 0.0);
+        let shortest = settings.classes.iter().map(|c| c.aim).min().unwrap_or(Micros::MAX);
+        self.sweep = (shortest / SWEEPS_AN_AIM).clamp(SWEEP_LEAST, SWEEP);
+        self.settings = settings;
     }
 
     /// Takes one event and appends what to do to `out`.
@@ -427,6 +441,7 @@
             Event::Lapsed(id) => self.end(id, out),
             Event::Probed { server, outcome, .. } => self.on_probed(server, outcome),
             Event::Maintenance { server, out } => self.on_maintenance(server, out),
+            Event::Settings(settings) => self.on_settings(*settings),
             Event::Timer(TIMER_SWEEP) => self.sweep(out),
             Event::Timer(TimerId(n)) if n >= TIMER_REST => self.give_turn(Key(n - TIMER_REST), out),
             Event::Timer(TIMER_SUBSCRIBE) if self.refusals.is_some() => out.push(Action::Subscribe),
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -5,6 +5,7 @@
 
 mod bodies;
 mod clients;
+mod configuration;
 mod descriptors;
 mod discovery;
 mod gone;
