Real processes in tests: their addresses are held for them until they listen

Ruled out: another fleet of the process (each has IPs of its own), outgoing calls (from other IPs, or from an agent that listens already).

Now a Reservation owns the address: a socket that is bound, allows its reuse and never listens. The system gives its port to nobody who leaves the choice to it, and the process that is told the address listens there. Agents, their nodes, the lab's nodes and those of scale runs use it; one kind of picking instead of five.

--- a/fleet/tests/fleet/mod.rs
+++ b/fleet/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 use tempfile::TempDir;
 use woodgap_fleet::duty::desk::{Answer, DeskReport};
 use woodgap_fleet::duty::Duty;
+use woodgap_lab::host::Reservation;
 use woodgap_lab::plane::real::{name, Agents, BRISK};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_woodgap-agent");
@@ -24,6 +25,8 @@
 pub struct Fleet {
     pub agents: Agents,
     pub more: Vec<String>,
+    /// The addresses of the nodes.
+    _held: Vec<[Reservation; 2]>,
     _folder: TempDir,
 }
 
@@ -40,18 +43,17 @@
     pub async fn of(places: usize, started: usize, more: &str, nodes: &[u16]) -> Fleet {
         let folder = tempfile::tempdir().unwrap();
         let agents = Agents::new(Path::new(PROGRAM), folder.path(), places, BRISK, 1).await.unwrap();
-        let port = |agent: usize| {
-            let ip = agents.listens(agent).ip();
-            std::net::TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
-        };
         let voters = "[duties]\nvoters = [\"m0\", \"m1\", \"m2\"]\n";
+        let held: Vec<[Reservation; 2]> =
+            (0..places).map(|agent| [(); 2].map(|()| agents.reserve(agent).unwrap())).collect();
         let table = |agent: usize| {
-            let operators = nodes.get(agent).map(|port| ([127, 0, 0, 1], *port).into());
-            let operators = operators.unwrap_or_else(|| port(agent));
-            format!("{voters}{more}{NODE}listen = \"{}\"\noperators = \"{operators}\"\n", port(agent))
+            let [clients, operators] = &held[agent];
+            let operators = nodes.get(agent).map_or(operators.addr(), |port| ([127, 0, 0, 1], *port).into());
+            let clients = clients.addr();
+            format!("{voters}{more}{NODE}listen = \"{clients}\"\noperators = \"{operators}\"\n")
         };
         let more: Vec<String> = (0..places).map(table).collect();
-        let mut fleet = Fleet { agents, more, _folder: folder };
+        let mut fleet = Fleet { agents, more, _held: held, _folder: folder };
         for agent in 0..started {
             if agent < 3 {
                 fleet.agents.voter_init(agent, &[0, 1, 2], &fleet.more[agent], false);
--- a/fleet/tests/supervision.rs
+++ b/fleet/tests/supervision.rs
@@ -14,6 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use woodgap_fleet::membership::{MemberReport, NodeState};
+use woodgap_lab::host::Reservation;
 use woodgap_lab::plane::real::{name, Agents, BRISK};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_woodgap-agent");
@@ -35,19 +36,16 @@
     clients: SocketAddr,
     node_operators: SocketAddr,
     node_table: String,
+    _held: [Reservation; 2],
     _folder: TempDir,
 }
 
-/// An address on the rig's own IP, which nobody else of this machine uses.
-fn port(ip: SocketAddr) -> SocketAddr {
-    std::net::TcpListener::bind((ip.ip(), 0)).unwrap().local_addr().unwrap()
-}
-
 impl Rig {
     async fn new(command: &str) -> Rig {
         let folder = tempfile::tempdir().unwrap();
         let agents = Agents::new(Path::new(PROGRAM), folder.path(), 1, BRISK, 1).await.unwrap();
-        let (clients, node_operators) = (port(agents.listens(0)), port(agents.listens(0)));
+        let held = [agents.reserve(0).unwrap(), agents.reserve(0).unwrap()];
+        let (clients, node_operators) = (held[0].addr(), held[1].addr());
         let config = agents.folder(0).join("node.json");
         let class = json!({"name": "balance", "aim": 500_000, "deadline": 1_000_000, "semantics": "safe"});
         let file: Value = json!({"name": "x", "listen": clients.to_string(), "discovery": "127.0.0.1:9", "seed": "1",
@@ -59,7 +57,7 @@
              status-interval = \"50ms\"\nsilent-limit = \"2s\"\ndrain-within = \"20s\"\n",
             config.display()
         );
-        Rig { agents, clients, node_operators, node_table, _folder: folder }
+        Rig { agents, clients, node_operators, node_table, _held: held, _folder: folder }
     }
 
     async fn started() -> Rig {
--- a/lab/src/host/mod.rs
+++ b/lab/src/host/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod http;
 mod nodes;
 mod operator;
+mod reserve;
 mod servers;
 mod stage;
 mod usage;
@@ -26,6 +27,7 @@
 use crate::world::{Demand, Front, Micros, World};
 
 pub use deploy::{Deploy, DeployError};
+pub use reserve::Reservation;
 pub use stage::Stage;
 
 /// Time for the nodes to say that they are ready.
--- a/lab/src/host/nodes.rs
+++ b/lab/src/host/nodes.rs
@@ -23,7 +23,7 @@
 use super::operator;
 use super::stage::{Order, Stage};
 use super::usage::Usage;
-use super::{HostError, Plan};
+use super::{HostError, Plan, Reservation};
 use crate::outcome::NodeReport;
 use crate::scenario::Scenario;
 use crate::world::{process_seed, NodeId, NodeOrder};
@@ -74,9 +74,8 @@
         let mut fleet = Fleet { listens: Vec::new(), keepers: Vec::new(), states: Vec::new(), stop, stage };
         for (node, orders) in orders.into_iter().enumerate() {
             let what = |what: &str| format!("{}: {what}", config::name(node));
-            let held = TcpListener::bind((Ipv4Addr::new(127, 1, node as u8, 1), 0))
+            let (door, listen) = Door::on(Ipv4Addr::new(127, 1, node as u8, 1), hand_over)
                 .map_err(|error| HostError::io(what("its address"), error))?;
-            let listen = held.local_addr().map_err(|error| HostError::io(what("its address"), error))?;
             let (state, states) = watch::channel(NodeState::Running);
             let log = plan.logs.as_deref().unwrap_or(scratch).join(format!("{}.log", config::name(node)));
             let mut keeper = Keeper {
@@ -89,7 +88,7 @@
                 folder: scratch.join(config::name(node)),
                 log,
                 listen,
-                held: hand_over.then_some(held),
+                door,
                 stage: fleet.stage.clone(),
                 agents: agents.clone(),
                 processes: Vec::new(),
@@ -154,9 +153,31 @@
     Ending { kill_at: Instant },
 }
 
+/// Where clients come, kept for a node from one process to the next.
+enum Door {
+    /// The listener itself, which processes inherit.
+    Inherited(TcpListener),
+    /// The address alone, at which each process listens by itself.
+    Reserved { _held: Reservation },
+}
+
+impl Door {
+    fn on(ip: Ipv4Addr, hand_over: bool) -> std::io::Result<(Door, SocketAddr)> {
+        if hand_over {
+            let listener = TcpListener::bind((ip, 0))?;
+            let listen = listener.local_addr()?;
+            return Ok((Door::Inherited(listener), listen));
+        }
+        let held = Reservation::on(ip)?;
+        let listen = held.addr();
+        Ok((Door::Reserved { _held: held }, listen))
+    }
+}
+
 struct Running {
     child: Child,
     operator: SocketAddr,
+    _held: Reservation,
     role: Role,
 }
 
@@ -170,8 +191,7 @@
     folder: PathBuf,
     log: PathBuf,
     listen: SocketAddr,
-    /// The clients' listener, where processes inherit it.
-    held: Option<TcpListener>,
+    door: Door,
     stage: Arc<Stage>,
     agents: Arc<Agents>,
     processes: Vec<Running>,
@@ -223,7 +243,8 @@
             let _ = fs::remove_dir_all(&tmp);
         }
         fs::create_dir_all(&tmp)?;
-        let operator = free_address(self.node)?;
+        let held = Reservation::on(Ipv4Addr::new(127, 2, self.node as u8, 1))?;
+        let operator = held.addr();
         let file = self.write_config(operator)?;
         let log = File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new("/bin/sh");
@@ -240,8 +261,8 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .kill_on_drop(true);
-        if let Some(held) = &self.held {
-            let parent_fd = OwnedFd::from(held.try_clone()?);
+        if let Door::Inherited(listener) = &self.door {
+            let parent_fd = OwnedFd::from(listener.try_clone()?);
             let mapped = command.fd_mappings(vec![FdMapping { parent_fd, child_fd: INHERITED }]);
             mapped.map_err(|error| std::io::Error::other(error.to_string()))?;
             command.env("BALANCER_FD", INHERITED.to_string());
@@ -253,7 +274,7 @@
             }
             false => Role::Serving,
         };
-        self.processes.push(Running { child, operator, role });
+        self.processes.push(Running { child, operator, _held: held, role });
         Ok(())
     }
 
@@ -427,11 +448,6 @@
     }
 }
 
-/// An address for operators that nobody holds now.
-fn free_address(node: NodeId) -> std::io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::new(127, 2, node as u8, 1), 0))?.local_addr()
-}
-
 fn tail(log: &Path) -> String {
     let text = fs::read_to_string(log).unwrap_or_default();
     let lines: Vec<&str> = text.lines().collect();
--- a/lab/src/plane/real/mod.rs
+++ b/lab/src/plane/real/mod.rs
@@ -5,7 +5,7 @@
 
 use std::fs::{self, File, OpenOptions};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -19,6 +19,8 @@
 use woodgap_fleet::host::PidFile;
 use woodgap_fleet::membership::{Presence, Report};
 
+use crate::host::Reservation;
+
 pub use links::{Link, Links};
 
 /// How often is looked for what is waited for.
@@ -28,8 +30,8 @@
 struct Place {
     folder: PathBuf,
     /// Where its process listens; other agents know the address of its links.
-    listen: SocketAddr,
-    operators: SocketAddr,
+    listen: Reservation,
+    operators: Reservation,
     /// Lines for its `membership` table.
     windows: String,
     child: Option<Child>,
@@ -62,13 +64,12 @@
 /// Fleets of this process so far: each has a block of IPs of its own, so that none takes another's ports.
 static FLEETS: AtomicU32 = AtomicU32::new(0);
 
-/// An address that nobody listens on now. Each agent has an IP of its own, by which links know it.
-fn free(block: u32, agent: usize) -> io::Result<SocketAddr> {
-    let ip = Ipv4Addr::from(block + agent as u32 + 1);
+/// An address where calls and datagrams can come.
+fn for_both(ip: Ipv4Addr) -> io::Result<Reservation> {
     loop {
-        let addr = TcpListener::bind((ip, 0))?.local_addr()?;
-        if UdpSocket::bind(addr).is_ok() {
-            return Ok(addr);
+        let reserved = Reservation::on(ip)?;
+        if UdpSocket::bind(reserved.addr()).is_ok() {
+            return Ok(reserved);
         }
     }
 }
@@ -89,15 +90,17 @@
             let folder = folder.join(name(agent));
             fs::create_dir_all(&folder)?;
             let windows = windows.to_owned();
+            // By its IP links know it.
+            let ip = Ipv4Addr::from(block + agent as u32 + 1);
             places.push(Place {
                 folder,
-                listen: free(block, agent)?,
-                operators: free(block, agent)?,
+                listen: for_both(ip)?,
+                operators: Reservation::on(ip)?,
                 windows,
                 child: None,
             });
         }
-        let links = Links::open(places.iter().map(|place| place.listen).collect(), seed).await?;
+        let links = Links::open(places.iter().map(|place| place.listen.addr()).collect(), seed).await?;
         Ok(Agents { program: program.to_owned(), links, places })
     }
 
@@ -117,12 +120,17 @@
 
     /// Where its process listens itself.
     pub fn listens(&self, agent: usize) -> SocketAddr {
-        self.places[agent].listen
+        self.places[agent].listen.addr()
+    }
+
+    /// One more address on its IP, for what belongs to it.
+    pub fn reserve(&self, agent: usize) -> io::Result<Reservation> {
+        Reservation::on(self.listens(agent).ip())
     }
 
     /// Where staff call it.
     pub fn operators(&self, agent: usize) -> SocketAddr {
-        self.places[agent].operators
+        self.places[agent].operators.addr()
     }
 
     /// Its folder.
@@ -140,11 +148,11 @@
              [operators]\nlisten = \"{}\"\n{more}",
             agent % 2,
             place.folder.join("state").display(),
-            place.listen,
+            place.listen.addr(),
             self.address(agent),
             seeds.join(", "),
             place.windows,
-            place.operators,
+            place.operators.addr(),
         );
         let path = place.folder.join("agent.toml");
         fs::write(&path, text).expect("a folder of the test's own");
--- a/lab/src/scale/process.rs
+++ b/lab/src/scale/process.rs
@@ -3,7 +3,7 @@
 
 use std::fs::{self, File};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::process::Stdio;
 use std::time::{Duration, Instant};
@@ -21,6 +21,7 @@
 use tokio::process::{Child, Command};
 
 use super::target;
+use crate::host::Reservation;
 
 /// How often a process is asked for what is waited for.
 const LOOK: Duration = Duration::from_millis(2);
@@ -39,6 +40,7 @@
     pub listen: SocketAddr,
     operator: SocketAddr,
     discovery: SocketAddr,
+    _held: [Reservation; 2],
     folder: TempDir,
     /// When it was started.
     pub started: Instant,
@@ -65,7 +67,9 @@
     /// Starts a program as a node with this discovery.
     pub fn start(program: &Path, discovery: SocketAddr, told: Told) -> io::Result<Process> {
         let folder = tempfile::tempdir()?;
-        let (listen, operator) = (free(62)?, free(63)?);
+        let reserve = |block: u8| Reservation::on(Ipv4Addr::new(127, block, 0, 1));
+        let held = [reserve(62)?, reserve(63)?];
+        let [listen, operator] = held.each_ref().map(Reservation::addr);
         let log = File::create(folder.path().join("log"))?;
         let config = folder.path().join("config.json");
         write(&config, listen, discovery, operator, told)?;
@@ -81,7 +85,7 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
-        Ok(Process { child, listen, operator, discovery, folder, started: Instant::now() })
+        Ok(Process { child, listen, operator, discovery, _held: held, folder, started: Instant::now() })
     }
 
     /// Gives it another configuration and tells it so.
@@ -176,11 +180,6 @@
     }
 }
 
-/// An address of a block that nobody holds now.
-fn free(block: u8) -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::new(127, block, 0, 1), 0))?.local_addr()
-}
-
 async fn get(addr: SocketAddr, path: &str) -> Option<String> {
     let ask = async {
         let stream = TcpStream::connect(addr).await.ok()?;
