Accepting waits for nobody: the oldest silent one that is turned away makes room

Seen in a trial with lines on what accepting waits for: with all 350 places taken, the 32 who may be told to go each kept their descriptor for up to 1 s, and accept() stood still for 0.46 s at a time in 'while self.overflow.is_full()' (clients.rs). Requests aged in the backlog meanwhile, where nobody tells the node for how long, and the first attempt came at p99 882 ms after the client's send. Ruled out: permits of the servers' share and the places of guests, neither of which was waited for over 20 ms.

Now nobody is waited for.

The new test fails without the change (30.7 s) and passes with it.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -1,7 +1,7 @@
 //! The clients' side: connections, requests in, answers out.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
@@ -65,6 +65,8 @@
     coming: Cell<usize>,
     /// The connections that have a place, by the numbers they were given.
     guests: RefCell<HashMap<u64, Rc<Guest>>>,
+    /// Those that have none and are only told to go, the oldest first.
+    turned_away: RefCell<BTreeMap<u64, Rc<Guest>>>,
     connections: Cell<usize>,
     draining: Cell<bool>,
     /// The process is to end: nobody can undo this drain.
@@ -102,6 +104,7 @@
             coming: Cell::new(0),
             connections: Cell::new(0),
             guests: RefCell::default(),
+            turned_away: RefCell::default(),
             draining: Cell::new(false),
             ending: Cell::new(false),
             horizon: Rc::default(),
@@ -127,13 +130,10 @@
     }
 
     /// Accepts until it is told to stop, after SIGTERM too: what is written to a connection in the
-    /// backlog counts as taken.
+    /// backlog counts as taken. Nobody is waited for meanwhile: how long a request lay in the backlog
+    /// is told nowhere, so its client's patience would be taken for longer than it is.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            // Refusals last a second at the most, so this wait is short.
-            while self.overflow.is_full() {
-                self.ended.notified().await;
-            }
             // Stopped here only: one that was accepted is served.
             let accepted = tokio::select! {
                 biased;
@@ -149,7 +149,12 @@
                     };
                     let refuse = permits.is_none();
                     if refuse { &self.counts.no_room } else { &self.counts.accepted }.add();
-                    if let Some(permits) = permits.or_else(|| Some((self.overflow.take()?, None))) {
+                    let permits = match permits {
+                        Some(permits) => Some(permits),
+                        None => self.last_room().await.map(|own| (own, None)),
+                    };
+                    // Without any the connection is shut unread.
+                    if let Some(permits) = permits {
                         // Held from here on: the process does not end before it is served.
                         let place = Place::new(&self, permits);
                         spawn_local(self.clone().serve(stream, place, refuse));
@@ -185,6 +190,25 @@
         }
     }
 
+    /// A place among those that are only told to go, at the cost of the one of them that has sent nothing
+    /// for longest; `None` where each of them has asked.
+    async fn last_room(&self) -> Option<Permit> {
+        loop {
+            if let Some(permit) = self.overflow.take() {
+                return Some(permit);
+            }
+            // What they have sent by now is read first.
+            tokio::task::yield_now().await;
+            if !self.overflow.is_full() {
+                continue;
+            }
+            let mut turned_away = self.turned_away.borrow_mut();
+            let silent = turned_away.iter().filter(|(_, guest)| !guest.has_asked());
+            let first = silent.min_by_key(|(&number, guest)| (guest.is_asking(), number)).map(|(&n, _)| n)?;
+            turned_away.remove(&first)?.leave.notify_one();
+        }
+    }
+
     /// Closes the connection that can best be spared; `false` if none can.
     fn dismiss(&self) -> bool {
         let mut guests = self.guests.borrow_mut();
@@ -199,7 +223,9 @@
         let last = self.closing.get();
         let guest = Rc::new(Guest::new());
         let number = self.next_number();
-        if !refuse {
+        if refuse {
+            self.turned_away.borrow_mut().insert(number, guest.clone());
+        } else {
             self.guests.borrow_mut().insert(number, guest.clone());
         }
         let stream = Rc::new(stream);
@@ -252,6 +278,7 @@
             serving(connection, left).await;
         }
         self.guests.borrow_mut().remove(&number);
+        self.turned_away.borrow_mut().remove(&number);
         drop(place);
     }
 
--- a/tests/node/clients.rs
+++ b/tests/node/clients.rs
@@ -67,15 +67,7 @@
 fn past_its_sockets_the_node_refuses_and_recovers() {
     let site = Site::with(1, json!({"sockets": 94}));
     site.all_do(Does::Hold);
-    // 94 less the reserve and the servers' third leaves seven clients.
-    let held: Vec<TcpStream> = (0..7)
-        .map(|n| {
-            let mut stream = site.dial();
-            stream.write_all(&request("pay", &format!("held-{n}"), 60_000)).unwrap();
-            assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Request(..))));
-            stream
-        })
-        .collect();
+    let held = hold_all_places(&site);
     let answer = site.ask("pay", "1");
     assert_eq!((answer.status(), answer.header("connection")), (503, "close"));
     drop(held);
@@ -83,6 +75,32 @@
     until("served again", || site.ask("pay", "2").status() == 200);
 }
 
+// How long a request lay in the backlog is told nowhere, so nobody who is turned away may keep another there.
+#[test]
+fn those_that_are_turned_away_keep_nobody_waiting() {
+    let site = Site::with(1, json!({"sockets": 94}));
+    site.all_do(Does::Hold);
+    let _held = hold_all_places(&site);
+    // More than are told to go at a time, each of which has a second to ask: one second at the least, were they waited for.
+    until("a client is answered before any silent one has had its second", || {
+        let start = Instant::now();
+        let _silent: Vec<TcpStream> = (0..64).map(|_| site.dial()).collect();
+        assert_eq!(site.ask("pay", "1").status(), 503);
+        start.elapsed() < Duration::from_secs(1)
+    });
+}
+
+/// Takes the places of a node that may hold 94 descriptors: less the reserve and the servers' third they are seven.
+fn hold_all_places(site: &Site) -> Vec<TcpStream> {
+    let hold = |n| {
+        let mut stream = site.dial();
+        stream.write_all(&request("pay", &format!("held-{n}"), 60_000)).unwrap();
+        assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Request(..))));
+        stream
+    };
+    (0..7).map(hold).collect()
+}
+
 // Anyone may connect: those who say nothing must not keep a client out.
 #[test]
 fn connections_that_send_nothing_make_room_for_a_client() {
