Table: its slots follow the fleet in layers, and large ones are built bit by bit

Cause: one table of 16,381 slots left 1,619 of 18,000 servers without any (6,000 where sizes differ), and a zone that goes server by server had it built 1,125 times.

Change: up to 2,047 servers the table is as it was, slot for slot. Beyond that it gains layers of 16,381 slots, at least eight slots a server up to 131,048 servers; docs/table.md has the design. A key leaves its slot only for a new one. A table of several layers is built by one slot in 3 us of the time that passes, in events that come anyway; meanwhile the old one serves and walks pass by servers that have left. Where more than a quarter of the servers changed it is built at once. Every server owns a slot, however small.

--- a/lab/src/scale/node.rs
+++ b/lab/src/scale/node.rs
@@ -16,7 +16,7 @@
 /// A group of this size keeps its connections to servers.
 const KEEPERS: usize = 24;
 pub(super) const TABLE: &str =
-    "one slot table of 16,381 slots, built anew with the first request after a change";
+    "one slot table, of 16,381 slots to 2,047 servers and at least eight a server beyond, then built bit by bit";
 const WATCH: &str = "the watch on discovery: the whole list, then what changes";
 const POOL: &str = "idle connections by server, closed after each answer where nodes are many";
 pub(super) const LOOK_OVER: &str = "the look-over of all servers, ten times a second";
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,14 +13,16 @@
 
 mod report;
 
-/// Slots of the table: a fixed prime, since a size that follows the fleet would move every key.
-pub const TABLE_SLOTS: usize = 16_381;
+/// Slots of a layer of the table: a prime. `docs/table.md` has the design.
+pub const LAYER_SLOTS: usize = 16_381;
+/// One slot of a table of several layers is built in such a time: 1.5 % of a core, and no request waits.
+const SLOT_TIME: Micros = 3;
 /// Seeds of the table's two hashes, the key hash and the nodes' order at a cold server, alike at all nodes.
 const OFFSET_SEED: u64 = 0x636f_7070_6572;
 const SKIP_SEED: u64 = 0x7461_636b;
 const KEY_SEED: u64 = 0x006b_6579;
 const PHASE_SEED: u64 = 0x7068_6173;
-/// The least part of a turn that a small server gets.
+/// The least part of a turn that a small server gets; more where it would still come by no slot.
 const LEAST_TURN: f64 = 1.0 / 64.0;
 
 /// How often the servers are looked over, at most, and where requests want faster answers, a part of
@@ -122,45 +124,84 @@
 /// The end of a key's rest: this and the key.
 const TIMER_REST: u64 = 16;
 
-/// Builds the table over `(server, weight)` pairs, in any order; a slot holds its owner's position.
-/// Servers take turns in the order of their ids. A turn adds a server's size, as a part of the power of two
-/// above the largest, to its credit, and each whole credit claims a slot: one change moves few slots.
-pub fn build_table(servers: &[(ServerId, f64)]) -> Vec<u32> {
-    if servers.is_empty() {
-        return Vec::new();
+/// The table's slots: a layer, and four times as many when there are eight a server, 2,047, 8,190 or 32,762.
+/// Each server from there on adds 48, so that one alone moves few keys. Beyond 131,048 it grows no more.
+pub fn table_slots(servers: usize) -> usize {
+    let added = |full: usize| (48 * servers.saturating_sub(full / 8)).min(3 * full);
+    LAYER_SLOTS + [1, 4, 16].map(|layers| added(layers * LAYER_SLOTS)).iter().sum::<usize>()
+}
+
+/// The slot of a key in a table of so many: each slot that is added takes its even part of the others' keys.
+pub fn slot_of_key(key: Key, slots: usize) -> usize {
+    let mut hash = xxh3_64_with_seed(&key.0.to_le_bytes(), KEY_SEED);
+    let (mut slot, mut next) = (0, hash % LAYER_SLOTS as u64);
+    while next < slots as u64 {
+        slot = next;
+        hash = hash.wrapping_mul(0xD134_2543_DE82_EF95).wrapping_add(1);
+        next = ((slot + 1).max(LAYER_SLOTS as u64) << 31) / ((hash >> 33) + 1);
     }
-    let largest = servers.iter().map(|s| s.1).fold(f64::MIN_POSITIVE, f64::max);
-    let step = largest.log2().ceil().exp2();
-    let m = TABLE_SLOTS as u64;
-    let mut order: Vec<usize> = (0..servers.len()).collect();
-    order.sort_by_key(|&i| servers[i].0);
-    let mut turns: Vec<(u32, u32, u32, f64, f64)> = order
-        .iter()
-        .map(|&i| {
-            let id = servers[i].0 .0.to_le_bytes();
-            let offset = xxh3_64_with_seed(&id, OFFSET_SEED) % m;
-            let skip = xxh3_64_with_seed(&id, SKIP_SEED) % (m - 1) + 1;
-            (i as u32, offset as u32, skip as u32, 0.0, (servers[i].1 / step).max(LEAST_TURN))
-        })
-        .collect();
-    let mut table = vec![u32::MAX; TABLE_SLOTS];
-    let mut free = TABLE_SLOTS;
-    loop {
-        for (owner, at, skip, credit, turn) in &mut turns {
-            *credit += *turn;
-            if *credit < 1.0 {
-                continue;
-            }
-            *credit -= 1.0;
-            while table[*at as usize] != u32::MAX {
-                *at = (*at + *skip) % m as u32;
-            }
-            table[*at as usize] = *owner;
-            free -= 1;
-            if free == 0 {
-                return table;
+    slot as usize
+}
+
+/// The table over `(server, weight)` pairs, as it is built. Servers take turns in the order of their ids, and
+/// add their size, in parts of the power of two above the largest, to their credit. A whole one claims a slot
+/// of the next block that has one, a block being a slot in each layer: one change of the fleet moves few.
+pub struct TableBuilder {
+    /// Server, next block, skip, hash, credit and what a turn adds; then, whose turn it is.
+    turns: Vec<(ServerId, u64, u64, u64, f64, f64)>,
+    turn: usize,
+    /// By block, a bit for each layer where it is free: those of neighbours lie far apart.
+    free: Vec<u64>,
+    left: usize,
+    table: Vec<u32>,
+}
+
+impl TableBuilder {
+    /// A table without an owner of any slot.
+    pub fn new(mut servers: Vec<(ServerId, f64)>) -> TableBuilder {
+        let left = if servers.is_empty() { 0 } else { table_slots(servers.len()) };
+        let step = servers.iter().map(|s| s.1).fold(f64::MIN_POSITIVE, f64::max).log2().ceil().exp2();
+        let least = LEAST_TURN.max(1.0 / ((left / servers.len().max(1)) as f64 - 0.5));
+        servers.sort_by_key(|s| s.0);
+        let turn = |&(server, size): &(ServerId, f64)| {
+            let hash = |seed| xxh3_64_with_seed(&server.0.to_le_bytes(), seed);
+            let (offset, skip, m) = (hash(OFFSET_SEED), hash(SKIP_SEED), LAYER_SLOTS as u64);
+            (server, offset % m, skip % (m - 1) + 1, offset ^ skip, 0.0, (size / step).max(least))
+        };
+        let layers = |at| (at..left).step_by(LAYER_SLOTS).zip(0_u32..);
+        let free = |at| layers(at).map(|(_, layer)| 1_u64 << (layer.reverse_bits() >> 26)).sum();
+        let (turns, free) = (servers.iter().map(turn).collect(), (0..LAYER_SLOTS).map(free).collect());
+        TableBuilder { turns, turn: 0, free, left, table: vec![u32::MAX; left] }
+    }
+
+    /// Claims up to so many slots; whether all have an owner.
+    pub fn claim(&mut self, slots: usize) -> bool {
+        let least = self.left.saturating_sub(slots);
+        while self.left > least {
+            let turn = self.turn;
+            self.turn = (turn + 1) % self.turns.len();
+            let (_, next, skip, hash, credit, gain) = &mut self.turns[turn];
+            *credit += *gain;
+            if *credit >= 1.0 {
+                while self.free[*next as usize] == 0 {
+                    *next = (*next + *skip) % LAYER_SLOTS as u64;
+                }
+                let block = *next as usize;
+                let first = ((*hash ^ *next).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 58) as u32;
+                let bit = (self.free[block].rotate_right(first).trailing_zeros() + first) % 64;
+                self.free[block] ^= 1 << bit;
+                self.table[block + (bit.reverse_bits() >> 26) as usize * LAYER_SLOTS] = turn as u32;
+                (*next, *credit) = ((*next + *skip) % LAYER_SLOTS as u64, *credit - 1.0);
+                self.left -= 1;
             }
         }
+        self.left == 0
+    }
+
+    /// The owners of the slots, as `place` has them.
+    pub fn owners<T: Copy>(&self, place: impl Fn(ServerId) -> T) -> Vec<T> {
+        let places: Vec<T> = self.turns.iter().map(|turn| place(turn.0)).collect();
+        self.table.iter().map(|&owner| places[owner as usize]).collect()
     }
 }
 
@@ -182,7 +223,6 @@
     quiet_since: Micros,
     /// Part of its slots that it carries, as far as its answers tell.
     share: f64,
-    /// How long its answers take against what is expected of them.
     pace: Pace,
     /// Its ejection, by attempts that ended in an error, a reset or a time-out.
     ban: Bar,
@@ -219,15 +259,6 @@
     (now + class.aim.min(patience), now + patience.min(useful))
 }
 
-/// What an outcome proves: the one place that resends and refusals go by.
-fn fate_of(outcome: Outcome, full_may_have_run: bool) -> Fate {
-    match outcome {
-        Outcome::ConnectFailed | Outcome::Moot => Fate::NeverRan,
-        Outcome::Full if !full_may_have_run => Fate::NeverRan,
-        _ => Fate::MayHaveRun,
-    }
-}
-
 struct Attempt {
     member: Member,
     sent: Micros,
@@ -336,11 +367,11 @@
 }
 
 /// The decisions of one node.
+#[derive(Default)]
 pub struct Balancer {
     settings: Settings,
     rng: Rng,
     now: Micros,
-    /// Time between two look-overs.
     sweep: Micros,
     /// This node's place among all, in 0..1: the same after a restart.
     place: f64,
@@ -353,7 +384,10 @@
     /// Servers that operators have taken out, on the list or not.
     out: BTreeSet<ServerId>,
     table: Vec<u32>,
-    stale_table: bool,
+    /// The next table while it is built, when that last went on, and servers that changed since it began.
+    build: Option<TableBuilder>,
+    built: Micros,
+    changes: usize,
     size_total: f64,
     inflight: u32,
     requests: HashMap<RequestId, Pending>,
@@ -384,32 +418,14 @@
         let mut balancer = Balancer {
             place: settings.me.map_or_else(|| rng.f64(), |me| f64::from(me) / f64::from(settings.group_size)),
             settles: Some(Micros::MAX),
-            ripe: Vec::new(),
             sweep: SWEEP,
-            tenant_rates: Vec::new(),
             rng,
-            now: 0,
-            servers: Vec::new(),
-            index: HashMap::new(),
-            out: BTreeSet::new(),
-            table: Vec::new(),
-            stale_table: false,
-            size_total: 0.0,
-            inflight: 0,
-            requests: HashMap::new(),
-            turns: BTreeMap::new(),
-            norms: Vec::new(),
-            spread: (0.0, 0.0),
-            silent: BTreeMap::new(),
-            kinds: BTreeMap::new(),
             quickest: 1.0,
-            hot: Vec::new(),
             window: 1.0,
             retries: RETRY_BURST,
             mood: Mood { limit: f64::INFINITY, able: f64::INFINITY, ..Mood::default() },
             refusals: Some(0),
-            called: 0,
-            settings: Settings::default(),
+            ..Balancer::default()
         };
         balancer.on_settings(settings);
         balancer
@@ -449,8 +465,6 @@
         }
     }
 
-    // Discovery.
-
     fn on_sync(&mut self, kind: SyncKind, members: Vec<Member>, out: &mut Vec<Action>) {
         let longest = self.settings.ask_within.min(2 * CALL_AGAIN) / 3;
         if kind == SyncKind::Cached && self.servers.is_empty() {
@@ -475,11 +489,9 @@
         }
         if kind != SyncKind::Delta {
             let listed: BTreeSet<ServerId> = members.iter().map(|m| m.server).collect();
-            for server in &mut self.servers {
-                if server.listed && !listed.contains(&server.member.server) {
-                    (server.listed, server.ready) = (false, false);
-                    self.stale_table = true;
-                }
+            let gone = |s: &&mut Server| s.listed && !listed.contains(&s.member.server);
+            for server in self.servers.iter_mut().filter(gone) {
+                (server.listed, server.ready, self.changes) = (false, false, self.changes + 1);
             }
         }
         members.into_iter().for_each(|member| self.on_member(member));
@@ -499,14 +511,14 @@
         let budget = self.phase(&member);
         let Some(&i) = self.index.get(&member.server) else {
             if listed {
-                self.stale_table = true;
+                self.changes += 1;
                 self.index.insert(member.server, self.servers.len());
                 self.servers.push(Server::new(member, ready, budget, self.settings.classes.len()));
             }
             return;
         };
         let old = &mut self.servers[i];
-        self.stale_table |= old.ready != ready || old.member.size != member.size;
+        self.changes += usize::from(old.ready != ready || old.member.size != member.size);
         if member.since != old.member.since {
             old.restart(member, budget, self.now);
         } else {
@@ -523,7 +535,7 @@
         let server = &mut self.servers[i];
         server.restart(server.member.clone(), budget, self.now);
         (server.returned, server.ready) = (self.now, server.listed && !out);
-        self.stale_table = true;
+        self.changes += 1;
     }
 
     /// The part of its first attempt that a node has at a server's start: evenly spread over the nodes.
@@ -532,23 +544,32 @@
         (self.place + xxh3_64_with_seed(&start, PHASE_SEED) as f64 / u64::MAX as f64).fract()
     }
 
-    /// Rebuilds the table, once for all changes since the last request.
+    /// Lets the table follow the servers, once for all changes since the last call. A large one is built bit
+    /// by bit, unless many changed. Meanwhile the old one serves, as walks pass by servers that have left.
     fn refresh_table(&mut self) {
-        if !std::mem::take(&mut self.stale_table) {
+        let many = 4 * self.changes > self.servers.len();
+        if self.changes > 0 && (many || self.build.is_none()) {
+            let ready = self.servers.iter().filter(|s| s.ready).map(|s| (s.member.server, s.member.size));
+            (self.build, self.changes) = (Some(TableBuilder::new(ready.collect())), 0);
+        }
+        let Some(build) = &mut self.build else { return };
+        let due = LAYER_SLOTS.min(((self.now - self.built) / SLOT_TIME) as usize);
+        self.built = if due > 0 { self.now } else { self.built };
+        if !build.claim(if many || build.table.len() <= LAYER_SLOTS { usize::MAX } else { due }) {
             return;
         }
         self.servers.retain(|s| s.listed || s.inflight > 0);
         self.ripe.clear();
         self.index = self.servers.iter().enumerate().map(|(i, s)| (s.member.server, i)).collect();
-        let ready = self.servers.iter().enumerate().filter(|(_, s)| s.ready);
-        let (places, pairs): (Vec<u32>, Vec<_>) =
-            ready.map(|(i, s)| (i as u32, (s.member.server, s.member.size))).unzip();
-        self.size_total = pairs.iter().map(|p| p.1).sum();
-        self.table = build_table(&pairs);
-        self.table.iter_mut().for_each(|owner| *owner = places[*owner as usize]);
+        self.size_total = self.servers.iter().filter(|s| s.ready).map(|s| s.member.size).sum();
+        self.table = build.owners(|id| self.index.get(&id).map_or(u32::MAX, |&i| i as u32));
+        self.build = None;
     }
 
-    // Routing.
+    /// Who owns a slot, if it is still there.
+    fn owner(&self, slot: usize) -> Option<&Server> {
+        self.servers.get(*self.table.get(slot)? as usize).filter(|s| s.ready)
+    }
 
     /// A part of capacity that a cold server surely has: it grows evenly from its start.
     fn warmth(&self, server: &Server) -> f64 {
@@ -570,7 +591,7 @@
     /// The part of its slots that a server carries now.
     fn share(&self, server: &Server) -> f64 {
         let ejected = server.ban.until.is_some() && self.mood.ejected <= PANIC;
-        if self.spent(server) || ejected || self.cut_off(server) {
+        if !server.ready || self.spent(server) || ejected || self.cut_off(server) {
             0.0
         } else {
             let pace = (self.quickest / self.pace(server)).powi(2).min(1.0);
@@ -648,7 +669,7 @@
         let mut need = self.key_share(pending.key);
         let repeatable = self.settings.classes[pending.class].semantics != Semantics::Unsafe;
         let mut seen: Vec<u32> = Vec::with_capacity(8);
-        let mut chosen: Vec<(usize, f64)> = Vec::new();
+        let (mut chosen, mut total): (Vec<(usize, f64)>, f64) = (Vec::new(), 0.0);
         let mut fallback = None;
         // Its slots alone would leave most of what is due to lapse. A key that came lately stays where it is,
         // and while the others answer in time, so does what a cold server may well answer late.
@@ -663,16 +684,13 @@
         if let Some(&i) = self.ripe.iter().find(free).filter(|_| fresh) {
             return Some(i);
         }
-        let slots = if pending.attempts.is_empty() { WALK_SLOTS } else { TABLE_SLOTS };
-        for step in 0..slots.min(self.table.len()) {
-            let slot = (pending.slot + step) % TABLE_SLOTS;
-            let owner = self.table[slot];
-            if seen.contains(&owner) {
-                continue;
-            }
-            let server = &self.servers[owner as usize];
+        let slots = if pending.attempts.is_empty() { WALK_SLOTS } else { usize::MAX };
+        let first = pending.slot % self.table.len().max(1);
+        let owned = |slot| Some((slot, self.table[slot], self.owner(slot)?));
+        let owners = (first..self.table.len()).chain(0..first).filter_map(owned).take(slots);
+        for (slot, owner, server) in owners {
             let tried = pending.attempts.iter().any(|a| a.member.server == server.member.server);
-            if tried || !self.in_group(pending, &server.member) {
+            if tried || seen.contains(&owner) || !self.in_group(pending, &server.member) {
                 continue;
             }
             seen.push(owner);
@@ -693,33 +711,26 @@
                 continue;
             }
             let carries = share * server.member.size / self.size_total;
-            chosen.push((owner as usize, carries));
+            total += carries;
+            chosen.push((owner as usize, total));
             need -= HOT_LOAD * carries;
             if need <= 0.0 {
                 break;
             }
         }
-        let total: f64 = chosen.iter().map(|c| c.1).sum();
-        let mut at = if chosen.len() > 1 { self.rng.f64() * total } else { 0.0 };
-        let pick = chosen.iter().find(|c| {
-            at -= c.1;
-            at <= 0.0
-        });
-        pick.or(chosen.last()).map(|c| c.0).or(fallback)
+        let at = if chosen.len() > 1 { self.rng.f64() * total } else { 0.0 };
+        chosen.iter().find(|c| at <= c.1).map(|c| c.0).or(fallback)
     }
 
     /// The slot of a request: its key's, or for a keyless one the better of two random ones.
     fn slot_of(&mut self, key: Option<Key>) -> usize {
-        if let Some(Key(key)) = key {
-            let hash = xxh3_64_with_seed(&key.to_le_bytes(), KEY_SEED);
-            return (hash % TABLE_SLOTS as u64) as usize;
-        }
-        let (a, b) = (self.rng.usize(0..TABLE_SLOTS), self.rng.usize(0..TABLE_SLOTS));
         self.refresh_table();
-        let held = |slot: usize| {
-            let server = self.table.get(slot).map(|&owner| &self.servers[owner as usize]);
-            server.map_or(0.0, |s| f64::from(s.inflight) / s.member.size)
-        };
+        let slots = self.table.len().max(LAYER_SLOTS);
+        if let Some(key) = key {
+            return slot_of_key(key, slots);
+        }
+        let (a, b) = (self.rng.usize(0..slots), self.rng.usize(0..slots));
+        let held = |slot| self.owner(slot).map_or(f64::MAX, |s| f64::from(s.inflight) / s.member.size);
         [a, b][usize::from(held(b) < held(a))]
     }
 
@@ -742,8 +753,6 @@
         (count - count.sqrt()).max(0.0) / self.mood.taken.max(HOT_LEAST)
     }
 
-    // Requests.
-
     fn on_request(&mut self, request: Request, out: &mut Vec<Action>) {
         let Request { id, class: ClassId(class), cost, key, coming, .. } = request;
         if self.requests.contains_key(&id) {
@@ -799,12 +808,11 @@
 
     /// Another attempt for a request that has none out, or its final answer.
     fn send_or_conclude(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        match self.wait_for_turn(id) {
-            Some(wait) if self.worth_holding(&self.requests[&id], wait) => return,
-            Some(_) => return self.conclude(id, out),
-            None => {}
+        let (wait, pending) = (self.wait_for_turn(id), &self.requests[&id]);
+        if wait.is_some_and(|wait| self.worth_holding(pending, wait)) {
+            return;
         }
-        let target = if self.may_send(&self.requests[&id]) { self.route(id) } else { None };
+        let target = if wait.is_none() && self.may_send(pending) { self.route(id) } else { None };
         let Some(target) = target else { return self.conclude(id, out) };
         let limit = self.attempt_limit(&self.requests[&id]);
         let class = self.requests[&id].class;
@@ -860,8 +868,7 @@
         }
     }
 
-    // Order. Guards against two requests of an in-order key running together or out of turn. A key's turn
-    // is held until nothing of the request is out; what waits is refused while it can be served elsewhere.
+    // Order: two requests of an in-order key never run together or out of turn. One has it until none is out.
 
     /// For a request that may not be sent yet: about how long, `None` for one that has the turn.
     fn wait_for_turn(&self, id: RequestId) -> Option<Micros> {
@@ -912,10 +919,9 @@
 
     fn may_send(&self, pending: &Pending) -> bool {
         let out = pending.attempts.iter().any(|a| a.fate == Fate::Out);
-        if (self.now >= pending.deadline && !pending.coming)
-            || pending.attempts.len() >= self.settings.max_attempts as usize
-            || (out && !self.settings.second_copies)
-        {
+        let late = self.now >= pending.deadline && !pending.coming;
+        let all = pending.attempts.len() >= self.settings.max_attempts as usize;
+        if late || all || (out && !self.settings.second_copies) {
             return false;
         }
         let first = pending.attempts.iter().find(|a| a.fate != Fate::NeverRan);
@@ -947,8 +953,6 @@
         [late.max(1), left][usize::from(whole)]
     }
 
-    // Outcomes.
-
     fn on_closed(&mut self, closed: Closed, out: &mut Vec<Action>) {
         let Closed { id, server, outcome, .. } = closed;
         let Some(pending) = self.requests.get_mut(&id) else { return };
@@ -956,7 +960,12 @@
         if attempt.fate != Fate::Out || attempt.member.server != server {
             return;
         }
-        attempt.fate = fate_of(outcome, self.settings.full_may_have_run);
+        // What an outcome proves: resends and refusals go by this alone.
+        attempt.fate = match outcome {
+            Outcome::ConnectFailed | Outcome::Moot => Fate::NeverRan,
+            Outcome::Full if !self.settings.full_may_have_run => Fate::NeverRan,
+            _ => Fate::MayHaveRun,
+        };
         let held = u32::from(attempt.counted);
         let (class, cost, ended) = (pending.class, pending.cost, pending.ended);
         let out_still = pending.attempts.iter().any(|a| a.fate == Fate::Out);
@@ -967,9 +976,7 @@
             out.push(Action::SetTimer { delay, timer: TimerId(TIMER_REST.wrapping_add(key.0)) });
         }
         self.inflight -= held;
-        if let Some(&i) = self.index.get(&server) {
-            self.servers[i].inflight -= held;
-        }
+        self.index.get(&server).into_iter().for_each(|&i| self.servers[i].inflight -= held);
         self.observe(class, cost, &closed, out);
         if ended || closed.done || outcome == Outcome::Ok {
             self.end(id, out);
@@ -1072,7 +1079,7 @@
         let bar = &mut self.servers[i].bars[class];
         bar.failing += FAILING_WEIGHT * (f64::from(u8::from(failed)) - bar.failing);
         if failed && (bar.failing > FAILING || bar.until.is_some()) {
-            bar.hold(until);
+            *bar = Bar { until: Some(until), trial: false, times: bar.times + 1, ..*bar };
         } else if !failed && bar.until.take().is_some() {
             // One success proves little: the next failure bars it again.
             bar.failing = FAILING;
@@ -1084,7 +1091,8 @@
     /// Takes a server out until a trial or probe succeeds.
     fn eject(&mut self, i: usize) {
         let until = self.respite(self.servers[i].ban.times);
-        self.servers[i].ban.hold(until);
+        let ban = &mut self.servers[i].ban;
+        *ban = Bar { until: Some(until), trial: false, times: ban.times + 1, ..*ban };
     }
 
     /// The end of a bar, which lasts twice as long each time.
@@ -1101,10 +1109,9 @@
         self.silent.entry(self.servers[i].member.zone).or_default().clear();
     }
 
-    // The regular look-over.
-
     fn sweep(&mut self, out: &mut Vec<Action>) {
         out.push(Action::SetTimer { delay: self.sweep, timer: TIMER_SWEEP });
+        self.refresh_table();
         self.shed_held(out);
         let slowest = self.norms.iter().map(|n| n.mean).fold(0.0, f64::max);
         let silence = ((SILENCE * slowest) as Micros).max(self.paced(SILENCE_LEAST));
@@ -1217,8 +1224,6 @@
         rates.chain(&mut self.tenant_rates).for_each(|rate| *rate *= HOT_KEEP);
     }
 
-    // Shedding.
-
     /// Counts a tenant's request; whether it goes beyond the quota, of which this node has an even part.
     fn over_share(&mut self, tenant: Option<TenantId>) -> bool {
         let Some(TenantId(t)) = tenant else { return false };
@@ -1264,13 +1269,6 @@
     }
 }
 
-impl Bar {
-    fn hold(&mut self, until: Micros) {
-        (self.until, self.trial) = (Some(until), false);
-        self.times += 1;
-    }
-}
-
 impl Server {
     fn new(member: Member, ready: bool, budget: f64, classes: usize) -> Self {
         let bars = vec![Bar::default(); classes];
--- a/src/brain/report.rs
+++ b/src/brain/report.rs
@@ -21,4 +21,9 @@
         let ejected = |s: &Server| s.ban.until.is_some() && self.mood.ejected <= PANIC;
         self.servers.iter().filter(|s| s.listed && (!s.ready || ejected(s) || self.cut_off(s))).count()
     }
+
+    /// How many slots the next table lacks, while the one before it is still in use.
+    pub fn slots_left(&self) -> usize {
+        self.build.as_ref().map_or(0, |build| build.left)
+    }
 }
