--- a/src/brain.rs
+++ b/src/brain.rs
@@ -57,7 +57,7 @@
 /// What a sweep keeps of the counts, and the answers as expected that they begin with.
 const STRAIN_KEEP: f64 = 0.9;
 const STRAIN_GUESS: f64 = 2.0;
-/// Under strain so many times what is served in the expected time is kept in flight.
+/// Under strain so many times what is served in the expected time, or one at each server, is kept in flight.
 const FLOW_ROOM: f64 = 2.0;
 const FLOW_WEIGHT: f64 = 0.07;
 /// An attempt that is out for this multiple of the expected time counts before it ends.
@@ -1185,9 +1185,8 @@
     fn count_overdue(&mut self) {
         let mut overdue = Vec::new();
         for pending in self.requests.values_mut() {
-            for attempt in
-                pending.attempts.iter_mut().filter(|a| a.fate == Fate::Out && !a.overdue && a.counted)
-            {
+            let out = pending.attempts.iter_mut().filter(|a| a.fate == Fate::Out && !a.overdue && a.counted);
+            for attempt in out {
                 // Until its time is up it may be waiting for its connection.
                 let least = self.settings.dial_timeout as f64 + attempt.expected;
                 if ((self.now - attempt.sent) as f64) < (OVERDUE * attempt.expected).max(least) {
@@ -1202,21 +1201,21 @@
             }
         }
         overdue.into_iter().for_each(|(i, hung)| self.take_pace(i, OVERDUE, hung));
-        if self.mood.strain > STRAIN {
-            self.mood.limit = self.mood.limit.min((FLOW_ROOM * self.mood.flow).max(1.0));
+        // While the servers hold no more than these, hardly any request waits: what is slow has another cause.
+        let up = self.servers.iter().filter(|s| s.ready && s.ban.until.is_none()).count() as f64;
+        let borne = (FLOW_ROOM * up / f64::from(self.settings.group_size)).max(1.0);
+        if self.mood.strain > STRAIN && self.mood.usual > borne {
+            self.mood.limit = self.mood.limit.min((FLOW_ROOM * self.mood.flow).max(borne));
         }
     }
 
     /// Lets the counts of traffic fade.
     fn forget(&mut self) {
-        self.mood.taken *= HOT_KEEP;
-        self.mood.sends *= HOT_KEEP;
-        self.mood.served *= HOT_KEEP;
+        let Mood { taken, sends, served, .. } = &mut self.mood;
+        [taken, sends, served].into_iter().for_each(|count| *count *= HOT_KEEP);
         self.window = self.window * HOT_KEEP + self.sweep as f64 / 1e6;
-        for hot in &mut self.hot {
-            hot.count *= HOT_KEEP;
-            hot.error *= HOT_KEEP;
-        }
+        let counts = self.hot.iter_mut().flat_map(|hot| [&mut hot.count, &mut hot.error]);
+        counts.for_each(|count| *count *= HOT_KEEP);
         self.hot.retain(|h| h.count > 0.3);
         self.servers.iter_mut().for_each(|server| server.pace.fade(PACE_KEEP));
         self.kinds.values_mut().for_each(|kind| kind.fade(PACE_KEEP));
