--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -108,6 +108,16 @@
     (node, addr, operator, log)
 }
 
+/// A process that ends with its test.
+pub struct Started(pub Child);
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 pub fn signal(node: &Child, name: &str) {
     assert!(Command::new("kill").args([name, &node.id().to_string()]).status().unwrap().success());
 }
@@ -150,24 +160,8 @@
             })
             .collect();
         let (tx, watches) = channel();
-        let discovery = discovery(tx).to_string();
-        let class = |name: &str, semantics: &str| {
-            json!({"name": name, "aim": 20_000_000, "deadline": 60_000_000, "semantics": semantics,
-                "points": 1.0, "late-share": 0.2, "key-scope": "all", "key-ttl": 5_000_000})
-        };
-        let mut config = json!({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f",
-            "limits": {"sockets": 256},
-            "known": {"revision": 41, "complete": true, "members": members},
-            "settings": {
-                "group-size": 1, "registry-mode": "ask", "weight-source": "nominal",
-                "classes": [class("look", "safe"), class("pay", "unsafe"), class("put", "keyed")],
-                "tenants": [{"name": "acme", "quota-per-s": 0.0}],
-                "bounds": {"max-attempts": 3, "cancelling": true, "dial-timeout": 5_000_000,
-                    "keepalive": 60_000_000, "retry-after": true, "max-retry-after": 2_000_000},
-                "rules": {"ask-within": 1_000_000},
-            },
-        });
+        let discovery = discovery(tx);
+        let mut config = plain_config(discovery, &members);
         shape(&mut config);
         let mut file = tempfile::NamedTempFile::new().unwrap();
         file.write_all(config.to_string().as_bytes()).unwrap();
@@ -231,6 +225,27 @@
     }
 }
 
+/// What a node is told where the test has nothing else to say.
+pub fn plain_config(discovery: SocketAddr, members: &[Value]) -> Value {
+    let class = |name: &str, semantics: &str| {
+        json!({"name": name, "aim": 20_000_000, "deadline": 60_000_000, "semantics": semantics,
+            "points": 1.0, "late-share": 0.2, "key-scope": "all", "key-ttl": 5_000_000})
+    };
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "1f",
+        "limits": {"sockets": 256},
+        "known": {"revision": 41, "complete": true, "members": members},
+        "settings": {
+            "group-size": 1, "registry-mode": "ask", "weight-source": "nominal",
+            "classes": [class("look", "safe"), class("pay", "unsafe"), class("put", "keyed")],
+            "tenants": [{"name": "acme", "quota-per-s": 0.0}],
+            "bounds": {"max-attempts": 3, "cancelling": true, "dial-timeout": 5_000_000,
+                "keepalive": 60_000_000, "retry-after": true, "max-retry-after": 2_000_000},
+            "rules": {"ask-within": 1_000_000},
+        },
+    })
+}
+
 /// A server in service, as discovery names it.
 pub fn listed(id: &str, addr: SocketAddr) -> Value {
     json!({"id": id, "host_port": addr.to_string(), "locality": "a", "flavor": "f", "cell": 0,
--- a/tests/ready.rs
+++ b/tests/ready.rs
@@ -10,7 +10,6 @@
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::process::Child;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -73,16 +72,6 @@
     (addr, None)
 }
 
-/// A process that ends with its test.
-struct Started(Child);
-
-impl Drop for Started {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 const READY_CALL: &[u8] = b"GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
 
 /// When a condition first holds, from `start` on; `None` after PATIENCE.
