Tests: processes that start together are held to ten seconds in mode ask too

tests/ready.rs measured lists that are pushed alone. Each case now runs with registry-mode push and ask: discovery up, hanging and down, lists of 200 and 18,000 servers.

--- a/tests/ready.rs
+++ b/tests/ready.rs
@@ -1,4 +1,5 @@
-//! How soon processes that are restarted together are ready, whatever discovery does and however long the list is.
+//! How soon processes that are restarted together are ready, whatever discovery does, however long the list is, and
+//! whether it is pushed or asked for.
 //!
 //! `WOODGAP_READY_PROCESSES` says how many start at once (4 where nothing says it; the figures of the docs are from 30):
 //!
@@ -92,7 +93,7 @@
     format!("p50 {:.3} s, p90 {:.3} s, most {:.3} s", part(5), part(9), part(10))
 }
 
-fn starts_together(count: usize, does: Discovery, servers: usize) {
+fn starts_together(count: usize, mode: &str, does: Discovery, servers: usize) {
     // All names lead to the one server that there is.
     let site = Site::new(1);
     let at: SocketAddr = site.members[0]["host_port"].as_str().unwrap().parse().unwrap();
@@ -103,7 +104,7 @@
     let list = json!({"revision": 42, "complete": true, "members": members});
     let (discovery, _down) = opens(does, &format!("{list}\n"));
     config["discovery"] = json!(discovery.to_string());
-    config["settings"]["registry-mode"] = json!("push");
+    config["settings"]["registry-mode"] = json!(mode);
     config["settings"]["group-size"] = json!(count);
     config["limits"] = json!({"sockets": 256, "memory_mb": 192});
     std::fs::write(site.file.path(), config.to_string()).unwrap();
@@ -130,7 +131,7 @@
     let (nodes, times): (Vec<Started>, Vec<[Option<Duration>; 3]>) =
         starters.into_iter().map(|starter| starter.join().expect("started")).unzip();
     let memory = nodes.iter().map(|node| most_memory_kb(&node.0)).max().unwrap_or(0);
-    let what = format!("{count} processes, discovery {does:?}, {servers} servers");
+    let what = format!("{count} processes, {mode}, discovery {does:?}, {servers} servers");
     assert!(times.iter().flatten().all(Option::is_some), "{what}: {times:?}");
     for (n, name) in ["ready", "served", "told"].iter().enumerate().take(if does.tells() { 3 } else { 2 }) {
         let times: Vec<Duration> = times.iter().filter_map(|times| times[n]).collect();
@@ -149,9 +150,11 @@
 #[test]
 fn nine_in_ten_processes_that_start_together_are_ready_in_time() {
     let count = std::env::var("WOODGAP_READY_PROCESSES").map_or(4, |text| text.parse().unwrap());
-    for servers in [200, 18_000] {
-        for does in [Discovery::Up, Discovery::Hangs, Discovery::Down] {
-            starts_together(count, does, servers);
+    for mode in ["push", "ask"] {
+        for servers in [200, 18_000] {
+            for does in [Discovery::Up, Discovery::Hangs, Discovery::Down] {
+                starts_together(count, mode, does, servers);
+            }
         }
     }
 }
