Tests: leavings during a drain and a standby are measured where nothing disturbs the node

Quiet drains had not been measured.

The first plays were red at a load of 30 to 40: attempts began up to 190 ms after the leaving, 1 to 373 of a flood. The node was not at fault: with its writes logged, each of these was written before its client left. What was late was the stamp of the read at the test's server: where the node ends an attempt before the server's thread has read it, the system merges the end into the request and stamps both with the time of the end (shown by a probe: 152 ms instead of 0.05). A request that has ended when it is read is now dated by the system's own book of the connection (sock_diag), and a test of its own shows that the end does not count. A longer backlog alone, tried first, did not help; it stays, as a flood past it is read a retransmission later.

The bound of 0.1 s and the counts stand as they were.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A node under test, and the short names that the tests use.
 #![allow(dead_code)]
 
+pub mod arrival;
 pub mod http;
 pub mod site;
 pub mod stand_ins;
--- a/tests/node/gone.rs
+++ b/tests/node/gone.rs
@@ -4,16 +4,18 @@
 
 use std::collections::HashMap;
 use std::io::IoSliceMut;
-use std::os::fd::AsRawFd;
+use std::os::fd::{AsFd, AsRawFd};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::PoisonError;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use nix::sys::signal::{kill, Signal};
 use nix::sys::socket::{recvmsg, setsockopt, sockopt, ControlMessageOwned, MsgFlags};
 use nix::unistd::Pid;
 
+use super::common::arrival;
 use super::leaving::{Goes, WAYS};
 use super::*;
 
@@ -50,6 +52,19 @@
     }
 }
 
+/// When the first bytes of a request came that were just read, with this stamp.
+fn first_byte(stream: &TcpStream, stamp: SystemTime) -> SystemTime {
+    assert_ne!(stamp, UNIX_EPOCH, "the system tells when it came");
+    // An attempt that was given up before anyone read it came when it came, not when it was given up.
+    let came = if has_ended(stream) { arrival::of_data(stream) } else { None };
+    came.map_or(stamp, |came| came.min(stamp))
+}
+
+fn has_ended(stream: &TcpStream) -> bool {
+    let mut asked = [PollFd::new(stream.as_fd(), PollFlags::from_bits_retain(nix::libc::POLLRDHUP))];
+    poll(&mut asked, PollTimeout::ZERO).unwrap() > 0
+}
+
 /// What the servers of a test do with what they hold.
 #[derive(Clone, Copy, PartialEq)]
 enum Does {
@@ -69,8 +84,14 @@
 }
 
 impl Servers {
-    fn at(listener: TcpListener) -> Servers {
+    fn new() -> Servers {
+        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        // A whole flood comes up at once, also while the thread that accepts gets no core: what one past the backlog
+        // writes is dropped, and comes a retransmission later, as if the node had begun it then.
+        listener.listen(2 * FLOOD as i32).unwrap();
         setsockopt(&listener, sockopt::ReceiveTimestampns, &true).unwrap();
+        let listener = TcpListener::from(listener);
         let addr = listener.local_addr().unwrap();
         let (connections, taken) = channel();
         thread::spawn(move || {
@@ -105,8 +126,7 @@
     stream.set_read_timeout(None).unwrap();
     let mut input = BufReader::new(Stamped { stream, came: UNIX_EPOCH });
     while input.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
-        let at = input.get_ref().came;
-        assert_ne!(at, UNIX_EPOCH, "the system tells when it came");
+        let at = first_byte(stream, input.get_ref().came);
         let Some(request) = Message::read(&mut input) else { return };
         let held = *does.lock().unwrap() == Does::Hold;
         let txn = request.header("x-txn").to_owned();
@@ -173,6 +193,15 @@
     TimeOut,
     /// As at a resend, in a node that was told to end.
     Drain,
+    /// Likewise, in a node that sends its clients away and stays.
+    Standby,
+}
+
+impl Moment {
+    /// A fleet that is rolled drains node after node while nothing else disturbs them.
+    fn is_drain(self) -> bool {
+        matches!(self, Moment::Drain | Moment::Standby)
+    }
 }
 
 fn site(addr: SocketAddr, moment: Moment) -> Site {
@@ -203,7 +232,7 @@
 /// an attempt may take to begin.
 fn flood(moment: Moment, goes: Goes, busy: bool, stalls: bool) -> Flood {
     let mut late = (moment == Moment::Dial).then(Late::new);
-    let mut servers = late.is_none().then(|| Servers::at(TcpListener::bind("127.0.0.1:0").unwrap()));
+    let mut servers = late.is_none().then(Servers::new);
     let addr = servers.as_ref().map_or_else(|| late.as_ref().unwrap().addr, |servers| servers.addr);
     let mut site = site(addr, moment);
     let class = if moment == Moment::Place { "pay" } else { "look" };
@@ -235,8 +264,10 @@
         }
         (_, Some(servers)) => {
             servers.begun.try_iter().for_each(drop);
-            if moment == Moment::Drain {
-                site.signal("-TERM");
+            match moment {
+                Moment::Drain => site.signal("-TERM"),
+                Moment::Standby => assert_eq!(site.call("POST /standby").status(), 200),
+                _ => {}
             }
             match moment {
                 Moment::Place => servers.all_do(Does::ServeHeld),
@@ -290,14 +321,14 @@
 /// Floods share the machine one at a time.
 static ONE: Mutex<()> = Mutex::new(());
 
-/// Floods of each way to leave, with the figures: once each where the cores are busy and where the node stalls, or
-/// as many times as `GONE_PLAYS` says, and where nothing disturbs it too.
+/// Floods of each way to leave, with the figures: once each where the cores are busy, where the node stalls and, in a
+/// drain, where nothing disturbs it, or as many times as `GONE_PLAYS` says and everywhere undisturbed too.
 fn no_attempt_begins_late(moment: Moment) {
     let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
     let plays = std::env::var("GONE_PLAYS").ok().map(|plays| plays.parse::<usize>().unwrap());
     let kinds = [("quiet", false, false), ("busy cores", true, false), ("the node stalls", false, true)];
-    for (kind, busy, stalls) in kinds.into_iter().skip(usize::from(plays.is_none())) {
-        let (mut left, mut late) = (0, Vec::new());
+    for (kind, busy, stalls) in kinds.into_iter().skip(usize::from(plays.is_none() && !moment.is_drain())) {
+        let (mut left, mut attempts, mut late) = (0, 0, Vec::new());
         for goes in (0..plays.unwrap_or(1)).flat_map(|_| WAYS) {
             let Flood { waited, began } = flood(moment, goes, busy, stalls);
             assert!(waited >= FLOOD / 2, "{moment:?}: {waited} waited");
@@ -306,6 +337,7 @@
             let over = began.iter().filter(|began| **began > LATEST).count();
             assert!(over <= usize::from(stalls), "{moment:?}, {kind}: {over} began late: {began:?}");
             left += waited;
+            attempts += began.len();
             late.extend(began.into_iter().filter(|late| !late.is_zero()));
         }
         late.sort();
@@ -313,7 +345,7 @@
         let p99 = late.len().checked_sub(left / 100 + 1).map_or(Duration::ZERO, |at| late[at]);
         let most = late.last().copied().unwrap_or_default();
         println!(
-            "{moment:?}, {kind}: {left} left, attempts after {}, p99 {p99:?}, most {most:?}",
+            "{moment:?}, {kind}: {left} left, {attempts} attempts as they did, after {}, p99 {p99:?}, most {most:?}",
             late.len()
         );
     }
@@ -343,3 +375,26 @@
 fn no_attempt_begins_late_for_clients_that_leave_during_a_drain() {
     no_attempt_begins_late(Moment::Drain);
 }
+
+#[test]
+fn no_attempt_begins_late_for_clients_that_leave_during_a_standby() {
+    no_attempt_begins_late(Moment::Standby);
+}
+
+// What the figures of this file rest on: the end that follows a request must not pass for its first byte.
+#[test]
+fn a_request_is_dated_by_its_bytes_and_not_by_the_end_that_follows() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    setsockopt(&listener, sockopt::ReceiveTimestampns, &true).unwrap();
+    let mut client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (server, _) = listener.accept().unwrap();
+    client.write_all(b"GET").unwrap();
+    let written = SystemTime::now();
+    thread::sleep(2 * LATEST);
+    drop(client);
+    until("it has ended", || has_ended(&server));
+    let mut input = Stamped { stream: &server, came: UNIX_EPOCH };
+    assert_eq!(input.read(&mut [0; 8]).unwrap(), 3);
+    let came = first_byte(&server, input.came);
+    assert!(came < written + LATEST, "{:?} later", came.duration_since(written));
+}
