Membership's datagrams keep to a rate: probes first, news waits in its queue

The bytes of the worst second were gossip datagrams filled with news: at 400 members with a zone dead 6,180 of 10,628 bytes were accusations that shorten no suspicion, at 154 with a region back 12,088 of 21,628 were records told again after a renewed life, and 5,862 the new lives.

A token bucket in the core (rate 4,500 bytes a second, burst 1,400) decides how much news a datagram may take; what is left stays in the queue, least told first and one update a member. Probes, their answers and refutations never wait; words with suspects have half of the rate; farewells and whole views are paced too. Only as many accusers as count are passed on, a judgement that others come to as well is told a third as often, and a renewed life is told by SWIM's update alone.

--- a/fleet/src/config/mod.rs
+++ b/fleet/src/config/mod.rs
@@ -240,6 +240,8 @@
         seed_interval: plane.span("seed-interval").unwrap_or(usual.seed_interval),
         settle: plane.span("settle").unwrap_or(usual.settle),
         hold: plane.span("hold").unwrap_or(usual.hold),
+        rate: plane.number("rate").unwrap_or(usual.rate),
+        burst: plane.number("burst").unwrap_or(usual.burst),
         most_members: plane.number("most-members").unwrap_or(usual.most_members),
         formats: membership::Formats {
             newest: plane.number("format").unwrap_or(usual.formats.newest),
--- a/fleet/src/membership/board.rs
+++ b/fleet/src/membership/board.rs
@@ -14,7 +14,7 @@
 /// Bytes of a broadcast, at most.
 pub const LONGEST_ITEM: usize = 640;
 /// Accusations remembered, so that none is passed on twice.
-const MOST_ACCUSATIONS: usize = 1_024;
+const MOST_ACCUSATIONS: usize = 4_096;
 
 /// What is broadcast.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +50,7 @@
 struct Inner {
     records: BTreeMap<Name, Rc<Record>>,
     most: usize,
+    most_accusers: usize,
     /// With the order in which they came.
     accusations: BTreeMap<Accusation, u64>,
     number: u64,
@@ -61,9 +62,9 @@
 pub struct Board(Rc<RefCell<Inner>>);
 
 impl Board {
-    /// A board for so many members.
-    pub fn new(most: usize) -> Board {
-        Board(Rc::new(RefCell::new(Inner { most, ..Inner::default() })))
+    /// A board for so many members, and so many accusers of one incarnation: more shorten its time no further.
+    pub fn new(most: usize, most_accusers: usize) -> Board {
+        Board(Rc::new(RefCell::new(Inner { most, most_accusers, ..Inner::default() })))
     }
 
     /// Takes a record in where it is newer than what is known. Whether it was.
@@ -113,7 +114,13 @@
 
     fn accuse(&self, accusation: &Accusation) -> bool {
         let mut inner = self.0.borrow_mut();
-        if inner.accusations.contains_key(accusation) {
+        let same = |a: &&Accusation| {
+            (&a.of, a.generation, a.incarnation)
+                == (&accusation.of, accusation.generation, accusation.incarnation)
+        };
+        if inner.accusations.contains_key(accusation)
+            || inner.accusations.keys().filter(same).count() >= inner.most_accusers
+        {
             return false;
         }
         if inner.accusations.len() >= MOST_ACCUSATIONS {
@@ -165,3 +172,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/membership/core/exchange.rs
+++ b/fleet/src/membership/core/exchange.rs
@@ -15,7 +15,9 @@
         self.call_number += 1;
         self.counts.calls_out += 1;
         self.calls.insert(self.call_number, purpose);
-        actions.push(Action::Call { call: self.call_number, to, bytes: stream.encode(self.fleet) });
+        let bytes = stream.encode(self.fleet);
+        self.views.spend(bytes.len());
+        actions.push(Action::Call { call: self.call_number, to, bytes });
     }
 
     pub(super) fn call_seed(&mut self, seed: SocketAddr, actions: &mut Vec<Action>) {
@@ -90,7 +92,10 @@
                 answer
             }
         };
-        actions.push(Action::Answer { conn, bytes: answer.encode(self.fleet) });
+        let bytes = answer.encode(self.fleet);
+        // An answer never waits; the next view that this agent asks for does.
+        self.views.spend(bytes.len());
+        actions.push(Action::Answer { conn, bytes });
     }
 
     pub(super) fn answered(&mut self, now: Micros, call: CallId, bytes: &[u8], actions: &mut Vec<Action>) {
@@ -245,7 +250,7 @@
     }
 
     fn view_of(&self, now: Micros, whole: &Whole) -> View {
-        let board = Board::new(self.settings.most_members);
+        let board = Board::new(self.settings.most_members, 0);
         board.merge(&whole.from);
         whole.records.iter().for_each(|record| {
             board.merge(record);
@@ -314,7 +319,14 @@
         let generation = identity.generation;
         self.me = identity;
         self.incarnation = 0;
-        self.publish();
+        if self.refused.is_empty() {
+            // Others hold its record, which may lag behind the generation: SWIM's own update brings them that. A region
+            // that comes back would tell all its records else.
+            self.renew_record();
+            self.board.merge(&self.record);
+        } else {
+            self.publish();
+        }
         // One that leaves is told so by those who have taken it down from their lists: nothing that staff need to know.
         if !matches!(self.phase, Phase::Leaving { .. }) {
             actions.push(Action::Tell(Change::Rejoined(generation)));
--- a/fleet/src/membership/core/mod.rs
+++ b/fleet/src/membership/core/mod.rs
@@ -4,7 +4,7 @@
 mod exchange;
 mod swim;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
 
@@ -14,9 +14,10 @@
 
 use super::board::{Board, Item};
 use super::digest::Digests;
-use super::foca_port::{Collector, Port};
+use super::foca_port::{Collector, Port, Room};
 use super::health::Health;
 use super::message::{fleet_id, Counts, Datagram, Stream, Word, ENVELOPE, LONGEST_DATAGRAM};
+use super::pace::Pace;
 use super::presence::Quorum;
 use super::reach::Reach;
 use super::report::{Agreement, DifferingPeer, MemberReport, Report};
@@ -29,6 +30,10 @@
 const REFRESH: Micros = 20_000;
 /// And in large fleets at most this often, times the members.
 const REFRESH_A_MEMBER: Micros = 50;
+/// Words to and from suspects have this part of the rate: news has the rest.
+const WORDS: usize = 2;
+/// Bytes of such a word, at most.
+const WORD: usize = 160;
 /// Names in a difference that are told, at most.
 const MOST_NAMES: usize = 8;
 
@@ -183,7 +188,15 @@
     /// When the host was told to wake this agent: later than that, it was paused.
     promised: Micros,
     /// Members that asked whether this agent lives, to be answered at once.
-    askers: Vec<SocketAddr>,
+    askers: BTreeSet<SocketAddr>,
+    /// Members that are still to be told straight that this agent leaves.
+    farewells: Vec<SocketAddr>,
+    farewell: Vec<u8>,
+    /// Holds all datagrams, and of them the words, to the rate.
+    pace: Pace,
+    words: Pace,
+    /// Holds whole views to the rate, beside the datagrams.
+    views: Pace,
 }
 
 impl Membership {
@@ -200,10 +213,15 @@
         let record = record.trimmed();
         let me = record.identity();
         let mut rng = Pcg64::seed_from_u64(seed);
-        let board = Board::new(settings.most_members);
+        let board = Board::new(settings.most_members, settings.suspicion_confirmations + 1);
         let foca_rng = Pcg64::seed_from_u64(rng.next_u64());
-        let config = foca_config(&settings, 1);
-        let foca = Foca::with_custom_broadcast(me.clone(), config, foca_rng, Port, board.clone());
+        let config = foca_config(&settings, 1, settings.gossip_fanout);
+        let room = Room::default();
+        let port = Port { room: room.clone() };
+        let foca = Foca::with_custom_broadcast(me.clone(), config, foca_rng, port, board.clone());
+        let pace = Pace::new(settings.rate, settings.burst);
+        let words = Pace::new(settings.rate / WORDS, settings.burst);
+        let views = Pace::new(settings.rate, settings.burst);
         Membership {
             fleet: fleet_id(&settings.fleet),
             settings,
@@ -213,7 +231,7 @@
             seeds,
             phase: Phase::Joining,
             foca,
-            collector: Collector::default(),
+            collector: Collector { room, ..Collector::default() },
             board,
             timers: Timers::default(),
             health: Health::default(),
@@ -234,7 +252,12 @@
             refreshed: None,
             ticks: 0,
             promised: Micros::MAX,
-            askers: Vec::new(),
+            askers: BTreeSet::new(),
+            farewells: Vec::new(),
+            farewell: Vec::new(),
+            pace,
+            words,
+            views,
         }
     }
 
@@ -243,6 +266,10 @@
         if self.phase == Phase::Over {
             return;
         }
+        self.pace.refill(now);
+        self.words.refill(now);
+        self.views.refill(now);
+        self.collector.room.set(self.pace.left());
         match event {
             Event::Start => self.start(now, actions),
             Event::Datagram(bytes) => self.datagram(now, &bytes, actions),
@@ -264,7 +291,12 @@
     pub fn next_wake(&self) -> Micros {
         let own = self.tick_at;
         let leaving = if let Phase::Leaving { until } = self.phase { until } else { Micros::MAX };
+        let answers = if self.askers.is_empty() { Micros::MAX } else { self.word_at() };
+        let farewells =
+            if self.farewells.is_empty() { Micros::MAX } else { self.pace.when(self.farewell.len()) };
         own.min(leaving)
+            .min(answers)
+            .min(farewells)
             .min(self.refresh_at().unwrap_or(Micros::MAX))
             .min(self.timers.next().unwrap_or(Micros::MAX))
     }
@@ -369,14 +401,18 @@
 
     /// Says something new of this agent to all.
     fn publish(&mut self) {
-        self.record.version = self.record.version.saturating_add(1);
-        self.record.generation = self.me.generation;
-        self.record = self.record.clone().trimmed();
+        self.renew_record();
         if self.phase != Phase::Joining {
             self.spread_record();
         }
     }
 
+    fn renew_record(&mut self) {
+        self.record.version = self.record.version.saturating_add(1);
+        self.record.generation = self.me.generation;
+        self.record = self.record.clone().trimmed();
+    }
+
     fn leave(&mut self, now: Micros, actions: &mut Vec<Action>) {
         self.record.left = true;
         self.publish();
@@ -385,19 +421,40 @@
             actions.push(Action::Gone);
             return;
         }
-        // Straight to everyone, beside the gossip that mends what is lost.
+        // Straight to as many as the rate carries until the end, beside the gossip that reaches the others.
         let item = Item::Record(self.record.clone()).encode();
         let farewell = Datagram { digest: self.view.digest(), payload: &[], item: &item, word: Word::None };
-        let bytes = farewell.encode(super::FORMATS.least, self.fleet);
-        let others: Vec<SocketAddr> = self.present_others().map(|entry| entry.identity.addr).collect();
-        others.into_iter().for_each(|to| self.post(to, bytes.clone(), actions));
+        self.farewell = farewell.encode(super::FORMATS.least, self.fleet);
+        self.farewells = self.present_others().map(|entry| entry.identity.addr).collect();
         let linger = (2 * micros(self.settings.probe_interval)).max(300_000);
         self.phase = Phase::Leaving { until: now + linger };
     }
 
+    /// When the next word to or from a suspect may go.
+    fn word_at(&self) -> Micros {
+        self.words.when(WORD).max(self.pace.when(WORD))
+    }
+
+    /// Sends what waits for the rate: answers to those that doubt this agent, then farewells.
+    fn say(&mut self, actions: &mut Vec<Action>) {
+        while self.words.left().min(self.pace.left()) >= WORD as i64 {
+            let Some(to) = self.askers.pop_first() else { break };
+            let alive = Word::Alive { identity: self.me.clone(), incarnation: self.incarnation };
+            let word = Datagram { digest: self.view.digest(), payload: &[], item: &[], word: alive };
+            let bytes = word.encode(super::FORMATS.newest, self.fleet);
+            self.words.spend(bytes.len());
+            self.post(to, bytes, actions);
+        }
+        while self.pace.left() >= self.farewell.len() as i64 {
+            let Some(to) = self.farewells.pop() else { break };
+            self.post(to, self.farewell.clone(), actions);
+        }
+    }
+
     fn post(&mut self, to: SocketAddr, bytes: Vec<u8>, actions: &mut Vec<Action>) {
         self.counts.datagrams_out += 1;
         self.counts.bytes_out += bytes.len() as u64;
+        self.pace.spend(bytes.len());
         actions.push(Action::Send { to, bytes });
     }
 
@@ -411,7 +468,7 @@
     }
 }
 
-fn foca_config(settings: &Settings, members: usize) -> foca::Config {
+fn foca_config(settings: &Settings, members: usize, fanout: usize) -> foca::Config {
     let (_, longest) = settings.suspicion(members);
     let periodic = |frequency, members: usize| PeriodicParams {
         frequency,
@@ -429,6 +486,6 @@
         notify_down_members: true,
         periodic_announce: None,
         periodic_announce_to_down_members: Some(periodic(settings.rejoin_interval, 3)),
-        periodic_gossip: Some(periodic(settings.gossip_interval, settings.gossip_fanout)),
+        periodic_gossip: Some(periodic(settings.gossip_interval, fanout)),
     }
 }
--- a/fleet/src/membership/core/swim.rs
+++ b/fleet/src/membership/core/swim.rs
@@ -4,13 +4,19 @@
 
 use super::*;
 use crate::membership::board::Accusation;
-use crate::membership::foca_port::{Kind, Note};
+use crate::membership::foca_port::{Kind, Note, RESERVE};
 use crate::membership::message::Fault;
 use crate::membership::suspicion::Suspicion;
 use crate::membership::view::Presence;
 
 /// Without suspects SWIM's state is looked through once in so many probe intervals.
 const QUIET_TICKS: u64 = 10;
+/// What others know already is passed on this part of the usual times.
+const OLD_NEWS: u8 = 3;
+/// Bytes of an update, of a broadcast, and of what is round them, as a rule: a gossip is weighed by them.
+const UPDATE: usize = 40;
+const BROADCAST: usize = 100;
+const ROUND_NEWS: usize = 140;
 
 impl Membership {
     pub(super) fn datagram(&mut self, now: Micros, bytes: &[u8], actions: &mut Vec<Action>) {
@@ -94,12 +100,25 @@
             self.tick_at = now;
             actions.push(Action::Tell(Change::Paused(late)));
         }
-        for (to, incarnation) in self.timers.take_asks(now) {
+        let most = usize::try_from(self.words.left().min(self.pace.left())).unwrap_or(0) / WORD;
+        let asks = self.timers.take_asks(now, most);
+        let held = asks.len() >= most;
+        for (to, incarnation) in asks {
             let word = Word::Accused { generation: to.generation, incarnation, answer: Some(self.me.addr) };
             self.tell(&to, word, actions);
         }
-        for (identity, incarnation) in self.timers.take_failed(now) {
-            self.apply(Member::new(identity, incarnation, State::Down));
+        if held {
+            self.timers.hold_asks(self.word_at().max(now + 1));
+        }
+        let failed = self.timers.take_failed(now);
+        if !failed.is_empty() {
+            // Whoever shares the suspicion comes to the same by itself: it is passed on fewer times, and after what is
+            // new to all.
+            self.configure(self.settings.gossip_fanout, OLD_NEWS);
+            for (identity, incarnation) in failed {
+                self.apply(Member::new(identity, incarnation, State::Down));
+            }
+            self.configure(self.settings.gossip_fanout, 1);
         }
         for timer in self.timers.due(now) {
             self.fire(now, timer);
@@ -120,16 +139,43 @@
     }
 
     fn fire(&mut self, now: Micros, timer: Timer<Identity>) {
-        let quiet = self.foca.updates_backlog() == 0 && self.foca.custom_broadcast_backlog() == 0;
-        if let (Timer::PeriodicGossip(_), true) = (&timer, quiet) {
-            // Nothing to tell: no datagrams, and it comes again.
-            let next = now + micros(self.settings.gossip_interval);
-            return self.timers.set(next, timer);
+        if let Timer::PeriodicGossip(_) = &timer {
+            let fanout = self.affordable_gossips();
+            if fanout == 0 {
+                // Nothing to tell, or it has to wait: no datagrams, and it comes again.
+                let next = now + micros(self.settings.gossip_interval);
+                return self.timers.set(next, timer);
+            }
+            self.configure(fanout, 1);
         }
         // Stale threads are foca's to ignore.
         let _ = self.foca.handle_timer(timer, &mut self.collector);
     }
 
+    /// To how many the news goes now: few long datagrams rather than many short ones, where the rate is short.
+    fn affordable_gossips(&self) -> usize {
+        let (updates, broadcasts) = (self.foca.updates_backlog(), self.foca.custom_broadcast_backlog());
+        if updates == 0 && broadcasts == 0 {
+            return 0;
+        }
+        let one = (ROUND_NEWS + updates * UPDATE + broadcasts * BROADCAST).min(LONGEST_DATAGRAM);
+        let left = usize::try_from(self.pace.left() - RESERVE).unwrap_or(0);
+        let worth = left >= one.min(self.settings.burst / 2);
+        if worth {
+            (left / one).clamp(1, self.settings.gossip_fanout)
+        } else {
+            0
+        }
+    }
+
+    fn configure(&mut self, fanout: usize, part: u8) {
+        let members = self.foca.num_members() + 1;
+        let mut config = foca_config(&self.settings, members, fanout);
+        let times = config.max_transmissions.get().div_ceil(part);
+        config.max_transmissions = NonZeroU8::new(times).unwrap_or(NonZeroU8::MIN);
+        let _ = self.foca.set_config(config);
+    }
+
     /// What is done once a probe interval, whatever happens.
     fn tick(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let settle = micros(self.settings.settle);
@@ -149,13 +195,15 @@
         if now >= self.sync_at {
             self.sync_at = now + self.jittered(micros(self.settings.sync_interval));
             let others: Vec<Name> = self.others().collect();
-            if !others.is_empty() {
+            if !others.is_empty() && self.views.left() > 0 {
                 let one = others[(self.rng.next_u64() % others.len() as u64) as usize].clone();
                 self.call_sync(&one, actions);
             }
         }
-        if let Some(name) = self.digests.ask(now, settle) {
-            self.call_sync(&name, actions);
+        if self.views.left() > 0 {
+            if let Some(name) = self.digests.ask(now, settle, &self.me.name) {
+                self.call_sync(&name, actions);
+            }
         }
     }
 
@@ -167,7 +215,7 @@
     pub(super) fn settle_up(&mut self, now: Micros, actions: &mut Vec<Action>) {
         // Each round handles what the last one caused; a handful is the most there ever is.
         for _ in 0..16 {
-            let Collector { sends, timers, notes } = std::mem::take(&mut self.collector);
+            let Collector { sends, timers, notes, .. } = self.collector.take();
             let news = self.board.take_news();
             if sends.is_empty() && timers.is_empty() && notes.is_empty() && news.is_empty() {
                 break;
@@ -177,11 +225,7 @@
             news.into_iter().for_each(|item| self.news(item, actions));
             sends.into_iter().for_each(|(to, payload)| self.send(&to, &payload, actions));
         }
-        for to in std::mem::take(&mut self.askers) {
-            let alive = Word::Alive { identity: self.me.clone(), incarnation: self.incarnation };
-            let bytes = Datagram { digest: self.view.digest(), payload: &[], item: &[], word: alive };
-            self.post(to, bytes.encode(super::super::FORMATS.newest, self.fleet), actions);
-        }
+        self.say(actions);
         if self.refresh_at().is_some_and(|at| now >= at) {
             (self.dirty, self.refreshed) = (false, Some(now));
             self.refresh(now, actions);
@@ -294,7 +338,9 @@
         let format = self.format_for(to);
         if format > super::super::FORMATS.least {
             let datagram = Datagram { digest: self.view.digest(), payload: &[], item: &[], word };
-            self.post(to.addr, datagram.encode(format, self.fleet), actions);
+            let bytes = datagram.encode(format, self.fleet);
+            self.words.spend(bytes.len());
+            self.post(to.addr, bytes, actions);
         }
     }
 
@@ -306,8 +352,7 @@
 
     fn refresh(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let members = self.foca.num_members() + 1;
-        let config = foca_config(&self.settings, members);
-        let _ = self.foca.set_config(config);
+        self.configure(self.settings.gossip_fanout, 1);
         let me = std::iter::once((self.me.clone(), self.incarnation, State::Alive));
         let known = self.foca.iter_membership_state().filter(|member| member.id().name != self.me.name);
         let known = known.map(|member| (member.id().clone(), member.incarnation(), member.state()));
--- a/fleet/src/membership/digest.rs
+++ b/fleet/src/membership/digest.rs
@@ -99,8 +99,9 @@
         }
     }
 
-    /// A peer that has differed for so long and was not asked within that time: it is asked now.
-    pub fn ask(&mut self, now: Micros, settle: Micros) -> Option<Name> {
+    /// A peer that has differed for so long and was not asked within that time: it is asked now. Of several it is the
+    /// next after `me`, so that not all ask the same one.
+    pub fn ask(&mut self, now: Micros, settle: Micros, me: &Name) -> Option<Name> {
         let changed = self.changed;
         let due = |peer: &Peer| {
             // What was heard before this agent's own view changed may well have changed since.
@@ -109,8 +110,8 @@
                 && peer.differs.is_some_and(|since| now >= since + settle)
                 && peer.asked.is_none_or(|asked| now >= asked + settle)
         };
-        let (name, peer) =
-            self.peers.iter_mut().filter(|(_, peer)| due(peer)).min_by_key(|(_, peer)| peer.asked)?;
+        let due = self.peers.iter_mut().filter(|(_, peer)| due(peer));
+        let (name, peer) = due.min_by_key(|(name, peer)| (peer.asked, *name < me))?;
         peer.asked = Some(now);
         Some(name.clone())
     }
--- a/fleet/src/membership/mod.rs
+++ b/fleet/src/membership/mod.rs
@@ -8,6 +8,7 @@
 mod health;
 mod identity;
 mod message;
+mod pace;
 mod presence;
 mod reach;
 mod record;
--- a/fleet/src/membership/settings.rs
+++ b/fleet/src/membership/settings.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::{Formats, FORMATS};
+use super::{Formats, FORMATS, LONGEST_DATAGRAM};
 use crate::{micros, Micros};
 
 /// The windows and bounds.
@@ -39,6 +39,11 @@
     pub settle: Duration,
     /// A failed or left member is remembered for this long.
     pub hold: Duration,
+    /// Bytes of datagrams a second that news waits for: with the burst, what any second may carry. Probes and their
+    /// answers do not wait, and the rate is theirs first.
+    pub rate: usize,
+    /// Bytes of datagrams at once, after a calm time: at least a whole datagram.
+    pub burst: usize,
     /// Members, at most: one more is not taken in.
     pub most_members: usize,
     /// The formats written and read; the newest may be held back while older members are about.
@@ -63,6 +68,8 @@
             seed_interval: Duration::from_secs(5),
             settle: Duration::from_secs(2),
             hold: Duration::from_secs(24 * 3600),
+            rate: 4_500,
+            burst: LONGEST_DATAGRAM,
             most_members: 3_000,
             formats: FORMATS,
         }
@@ -117,6 +124,12 @@
         if !(2..=10_000).contains(&self.most_members) {
             wrong("most-members", "must be 2 to 10000".into());
         }
+        if !(1_000..=100_000_000).contains(&self.rate) {
+            wrong("rate", "must be 1000 to 100000000 bytes a second".into());
+        }
+        if !(LONGEST_DATAGRAM..=100_000_000).contains(&self.burst) {
+            wrong("burst", format!("must be {LONGEST_DATAGRAM} to 100000000 bytes: a datagram whole"));
+        }
         for (key, factor) in [
             ("suspicion-mult", self.suspicion_mult),
             ("suspicion-max-mult", self.suspicion_max_mult),
--- a/fleet/src/membership/suspicion.rs
+++ b/fleet/src/membership/suspicion.rs
@@ -71,9 +71,9 @@
         due
     }
 
-    /// When there is something to do about it.
-    pub fn next(&self) -> Micros {
-        self.ask_at().unwrap_or(Micros::MAX).min(self.deadline())
+    /// When there is something to do about it, where it may be asked from a time on.
+    pub fn next(&self, asks_from: Micros) -> Micros {
+        self.ask_at().map_or(Micros::MAX, |at| at.max(asks_from)).min(self.deadline())
     }
 
     /// Time that did not count: the process was paused.
--- a/fleet/src/membership/timers.rs
+++ b/fleet/src/membership/timers.rs
@@ -19,6 +19,8 @@
     waiting: BTreeMap<u64, Timer<Identity>>,
     number: u64,
     suspects: BTreeMap<SuspectKey, (Suspicion, Identity)>,
+    /// No suspect is asked before: the rate does not allow it.
+    asks_from: Micros,
 }
 
 impl Timers {
@@ -62,16 +64,25 @@
     /// The earliest time at which something is due.
     pub fn next(&self) -> Option<Micros> {
         let queued = self.queue.peek().map(|Reverse((at, _))| *at);
-        let suspects = self.suspects.values().map(|(suspicion, _)| suspicion.next()).min();
+        let suspects = self.suspects.values().map(|(suspicion, _)| suspicion.next(self.asks_from)).min();
         [queued, suspects].into_iter().flatten().min()
     }
 
-    /// Suspects that are to be asked now, with the incarnation doubted.
-    pub fn take_asks(&mut self, now: Micros) -> Vec<(Identity, u16)> {
-        let due = self.suspects.iter_mut().filter_map(|((_, _, incarnation), (suspicion, identity))| {
-            suspicion.ask(now).then(|| (identity.clone(), *incarnation))
+    /// Suspects that are to be asked now, so many at most, with the incarnation doubted: whoever is judged first comes
+    /// first, the others wait.
+    pub fn take_asks(&mut self, now: Micros, most: usize) -> Vec<(Identity, u16)> {
+        let suspects = self.suspects.iter_mut().map(|((_, _, incarnation), of)| (*incarnation, of));
+        let mut suspects: Vec<_> = suspects.collect();
+        suspects.sort_by_key(|(_, (suspicion, _))| suspicion.deadline());
+        let due = suspects.into_iter().filter_map(|(incarnation, (suspicion, identity))| {
+            suspicion.ask(now).then(|| (identity.clone(), incarnation))
         });
-        due.collect()
+        due.take(most).collect()
+    }
+
+    /// No suspect is asked before that time.
+    pub fn hold_asks(&mut self, until: Micros) {
+        self.asks_from = until;
     }
 
     /// Suspects that had their time, with the incarnation doubted. They are suspects no more.
--- a/fleet/tests/membership.rs
+++ b/fleet/tests/membership.rs
@@ -115,6 +115,35 @@
     agents.until("views agree, and say so", AMPLE, agreed).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_partition_heals_at_a_small_rate_and_each_sends_within_it() {
+    const RATE: f64 = 2_500.0;
+    const BURST: f64 = 1_400.0;
+    let all = [0, 1, 2, 3, 4, 5, 6, 7, 8];
+    let windows = format!("{BRISK}rate = {RATE:.0}\nburst = {BURST:.0}\n");
+    let (mut agents, _folder) = agents(9, &windows).await;
+    agents.start_all(AMPLE).await;
+    agents.links.part(&[0, 1, 2, 3, 4, 5], &[6, 7, 8]);
+    for (by, of) in [(0..6, 6..9), (6..9, 0..6)] {
+        for of in of {
+            all_see(&agents, &by.clone().collect::<Vec<_>>(), of, Presence::Failed).await;
+        }
+    }
+    let called = agents.failures(&[]).len();
+    let mut before = Vec::new();
+    for agent in all {
+        before.push((std::time::Instant::now(), agents.report(agent).await.unwrap().counts.bytes_out));
+    }
+    agents.links.heal();
+    agents.until_whole(&all, AMPLE).await;
+    for (agent, (began, sent)) in all.into_iter().zip(before) {
+        let sent = agents.report(agent).await.unwrap().counts.bytes_out - sent;
+        let may = BURST + RATE * began.elapsed().as_secs_f64();
+        assert!(sent as f64 <= may, "{agent} sent {sent} bytes, {may} allowed");
+    }
+    assert_eq!(agents.failures(&[]).len(), called, "nobody is called failed after the healing");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_one_way_link_fails_nobody_and_is_shown_by_the_one_that_suffers() {
     let (agents, _folder) = whole(5).await;
