Scale: the control machines, in virtual time and as a few real processes

The machines of the fleet plane were reckoned by arithmetic alone. The new role plays the agent's own desks, agreed log, state and census in virtual time, with ways of 5 to 250 ms between regions, synced writes and the bounds of the agent's socket, by voters, agents, servers out and round trips; voters' placements are gone through one by one; up to 40 agents run as processes. The way between two agents' regions in the membership plays is public for it.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -382,7 +382,8 @@
     }
     let json = of.output()?;
     open_json(Some(json))?;
-    let plan = scale::Plan { quick: of.quick, only: of.only, node, forwarder };
+    let agent = forwarder.with_file_name("woodgap-agent");
+    let plan = scale::Plan { quick: of.quick, only: of.only, node, forwarder, agent };
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     let bar = indicatif::ProgressBar::new_spinner();
     bar.enable_steady_tick(std::time::Duration::from_millis(120));
--- a/lab/src/plane/virt.rs
+++ b/lab/src/plane/virt.rs
@@ -55,7 +55,7 @@
     }
 
     /// The way between two agents' regions, one way: round trips are spread evenly over the pairs of regions.
-    fn way(&self, from: usize, to: usize) -> Micros {
+    pub fn way(&self, from: usize, to: usize) -> Micros {
         let (one, other) = (from % self.regions, to % self.regions);
         let (low, high) = (one.min(other), one.max(other));
         if low == high {
--- /dev/null
+++ b/lab/src/scale/control/state.rs
@@ -0,0 +1,187 @@
+//! Measures the agreed state by what it holds: what a snapshot weighs, how long it takes to make, keep and take over, and
+//! what the state refuses to hold.
+
+use std::time::Instant;
+
+use woodgap_fleet::agreement::{Conf, Content, Kept, Save, SnapshotKept};
+use woodgap_fleet::duty::{Command, CommandId, Out, State, What, DUTIES};
+use woodgap_fleet::membership::LONGEST_STREAM;
+use woodgap_fleet::store::{Store, VoteStore};
+
+use super::super::results::{About, Aspect, Figure, Loss};
+use super::super::{middle, target, Effort, ScaleError};
+use super::BASE;
+
+const SNAPSHOT: &str = "the agreed state, in a snapshot after 2,000 entries; at most 1,000 servers out";
+/// Renewals that a play of leases applies.
+const RENEWALS: usize = 1_000;
+
+/// The figures.
+pub fn measure(effort: &Effort, told: &mut impl FnMut(&str)) -> Result<Vec<Figure>, ScaleError> {
+    told("control: snapshots");
+    let mut found = Vec::new();
+    for &servers in effort.out {
+        found.push((servers as f64, snapshot(servers, effort.runs)?));
+    }
+    let mut leases = Vec::new();
+    for &duties in effort.duties {
+        leases.push((duties as f64, with_duties(duties).to_bytes().len() as f64));
+    }
+    let refused: Vec<(f64, f64)> =
+        effort.zone_out.iter().map(|&servers| (servers as f64, with_out(servers).1 as f64)).collect();
+    let by = About { of: "servers out", target: target::MOST_OUT as f64, carried_by: SNAPSHOT, ..BASE };
+    let figure = |about: About, of: fn(&Snapshot) -> f64| {
+        let measured: Vec<(f64, f64)> = found.iter().map(|(size, found)| (*size, of(found))).collect();
+        Figure::new(&about, &measured)
+    };
+    Ok(vec![
+        Figure::new(
+            &About {
+                name: "zone-out-refused",
+                unit: "servers of a zone that staff can't take out",
+                of: "servers of the zone",
+                target: target::ZONE_SERVERS as f64,
+                budget: Some(0.0),
+                loss: Loss::Part,
+                ..by
+            },
+            &refused,
+        ),
+        figure(
+            About {
+                name: "snapshot-bytes",
+                unit: "bytes, the last 1,024 outcomes with it",
+                budget: Some(LONGEST_STREAM as f64),
+                loss: Loss::Part,
+                ..by
+            },
+            |found| found.bytes,
+        ),
+        Figure::new(
+            &About {
+                name: "snapshot-bytes-by-duties",
+                unit: "bytes, 1,000 renewals of each lease later",
+                of: "duties held",
+                target: DUTIES.len() as f64,
+                ..by
+            },
+            &leases,
+        ),
+        figure(
+            About { aspect: Aspect::Processor, name: "snapshot-made", unit: "ms of the core to make one", ..by },
+            |found| found.made_ms,
+        ),
+        figure(
+            About { aspect: Aspect::Processor, name: "snapshot-read", unit: "ms of the core to take one over", ..by },
+            |found| found.read_ms,
+        ),
+        figure(
+            About {
+                aspect: Aspect::Latency,
+                name: "snapshot-kept",
+                unit: "ms for the store to keep one, synced, on this machine's disk",
+                ..by
+            },
+            |found| found.kept_ms,
+        ),
+        figure(
+            About {
+                aspect: Aspect::Latency,
+                name: "entry-kept",
+                unit: "ms for the store to keep an entry, synced, on this machine's disk, beside such a snapshot",
+                ..by
+            },
+            |found| found.entry_ms,
+        ),
+    ])
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Snapshot {
+    bytes: f64,
+    made_ms: f64,
+    read_ms: f64,
+    kept_ms: f64,
+    entry_ms: f64,
+}
+
+fn apply(state: &mut State, what: What) {
+    let index = state.index + 1;
+    let command = Command { id: CommandId(7, index), what };
+    let content = Content::Command(postcard::to_stdvec(&command).unwrap_or_default());
+    state.apply(index, &content);
+}
+
+/// A state after staff have taken so many servers out, and how many of these it refused.
+pub(super) fn with_out(servers: usize) -> (State, usize) {
+    let mut state = State::founded(Default::default());
+    // As many commands each time, so that what is remembered of them weighs the same.
+    let again = (0..target::REMEMBERED.max(servers)).map(|nth| nth % servers.max(1));
+    for server in again {
+        let out = Out {
+            who: "on-call".into(),
+            why: "the rack is being moved, ticket 4711".into(),
+            since_ms: 1_700_000_000_000,
+            until_ms: Some(1_700_003_600_000),
+        };
+        apply(&mut state, What::Out { server: format!("api-{server:05}"), out });
+    }
+    let refused = servers - state.out.len();
+    (state, refused)
+}
+
+/// A state in which the first so many duties are held, and were renewed for long.
+fn with_duties(duties: usize) -> State {
+    let mut state = State::founded(Default::default());
+    for duty in DUTIES.into_iter().take(duties) {
+        let Ok(to) = "control-1".parse() else { continue };
+        let given = What::Give { duty, to, process: 7, after: 0, renewals: 0, at_ms: 1_700_000_000_000 };
+        apply(&mut state, given);
+        let token = state.token(duty);
+        for _ in 0..RENEWALS {
+            apply(&mut state, What::Renew(vec![(duty, token)]));
+        }
+    }
+    state
+}
+
+fn snapshot(servers: usize, runs: usize) -> Result<Snapshot, ScaleError> {
+    let (state, _) = with_out(servers);
+    let data = state.to_bytes();
+    let timed = |work: &mut dyn FnMut()| {
+        let times = (0..runs).map(|_| {
+            let began = Instant::now();
+            work();
+            began.elapsed().as_secs_f64() * 1e3
+        });
+        middle(times.collect())
+    };
+    let made_ms = timed(&mut || drop(std::hint::black_box(state.to_bytes())));
+    let read_ms = timed(&mut || drop(std::hint::black_box(State::of_bytes(&data))));
+    let store = |error: woodgap_fleet::store::StoreError| {
+        ScaleError::io("a voter's store")(std::io::Error::other(error))
+    };
+    let folder = tempfile::tempdir().map_err(ScaleError::io("a folder"))?;
+    let mut votes = VoteStore::create(&folder.path().join("votes"), 7, Kept::default()).map_err(store)?;
+    let conf = Conf { voters: (1..=target::CONTROL as u64).collect(), learners: Vec::new() };
+    let (mut snapshots, mut entries) = (Vec::new(), Vec::new());
+    for index in 1..=runs as u64 {
+        let kept = SnapshotKept { index, term: 1, conf: conf.clone(), data: data.clone() };
+        let item = woodgap_fleet::agreement::Item {
+            index: index + 1,
+            term: 1,
+            content: Content::Command(vec![7; 120]),
+        };
+        let saves = [
+            (Save { snapshot: Some(kept), ..Save::default() }, &mut snapshots),
+            (Save { entries: vec![item], ..Save::default() }, &mut entries),
+        ];
+        for (save, times) in saves {
+            let began = Instant::now();
+            votes.save(&save).map_err(store)?;
+            times.push(began.elapsed().as_secs_f64() * 1e3);
+        }
+    }
+    let (kept_ms, entry_ms) = (middle(snapshots), middle(entries));
+    Ok(Snapshot { bytes: data.len() as f64, made_ms, read_ms, kept_ms, entry_ms })
+}
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -1,9 +1,11 @@
 //! Owns the scale runs: what grows with the fleet, measured at growing sizes and held against the fleet that is wanted.
 //! `law` and `results` are pure; `module` asks the decisions alone; `loopback`, `process` and `load` are the world round
-//! one real node, `decisions` and `node` the measurements on both; `agent` plays members in virtual time. The tables of `docs/CAPACITY.md` are written from what comes out.
+//! one real node, `decisions` and `node` the measurements on both; `agent` plays members in virtual time, `control` the
+//! machines of the fleet plane and those who ask them. The tables of `docs/CAPACITY.md` are written from what comes out.
 
 mod agent;
 mod configuration;
+mod control;
 mod decisions;
 mod law;
 mod load;
@@ -31,6 +33,8 @@
     Agent,
     /// What brings configuration to nodes.
     Configuration,
+    /// The machines of the fleet plane, in virtual time.
+    Control,
 }
 
 /// What is to be measured.
@@ -44,6 +48,8 @@
     pub node: PathBuf,
     /// The bare forwarder's.
     pub forwarder: PathBuf,
+    /// The agent's.
+    pub agent: PathBuf,
 }
 
 /// Why a run was given up.
@@ -91,6 +97,34 @@
     services: &'static [usize],
     tenants: &'static [usize],
     changes: &'static [usize],
+    /// Voters of the agreed log, and their round trips in ms where all are alike.
+    voters: &'static [usize],
+    trips_ms: &'static [usize],
+    /// Microseconds that a synced write takes.
+    syncs_us: &'static [usize],
+    /// Agents round nine control machines.
+    agents: &'static [usize],
+    /// Voters and agents as processes; the configuration takes seven voters at most.
+    real_voters: &'static [usize],
+    real_agents: &'static [usize],
+    /// Servers out, the reasons given with one in bytes, duties held, and servers of a zone that are taken out.
+    out: &'static [usize],
+    reasons: &'static [usize],
+    duties: &'static [usize],
+    zone_out: &'static [usize],
+    /// Seconds of virtual time for which the log is driven, leases are watched, asks come and the census goes round.
+    log_s: u64,
+    lease_s: u64,
+    ask_s: u64,
+    census_s: u64,
+    /// Asks a second up to which the highest rate is sought, asks that each voter has open where it is driven, and agents
+    /// without a vote that ask all the time.
+    most_rate: f64,
+    open: usize,
+    eager: usize,
+    /// Leaders that die, and asks one after the other.
+    elections: u64,
+    asks: usize,
     /// Members in one place, and members spread over regions.
     members: &'static [usize],
     far: &'static [usize],
@@ -119,6 +153,25 @@
     services: &[10, 100, 400, target::SERVICES],
     tenants: &[10, 1_000, 10_000, target::TENANTS],
     changes: &[1, 2, 4, 8],
+    voters: &[3, 5, 7, target::CONTROL],
+    trips_ms: &[5, 25, 50, 100, 150, 200, target::FAR_MS as usize],
+    syncs_us: &[500, 1_000, 2_000, 4_000, 8_000],
+    agents: &[30, 100, 400, 1_000, target::NODES],
+    out: &[10, 100, 300, target::MOST_OUT],
+    real_voters: &[3, 5, 7],
+    real_agents: &[5, 10, 20, 40],
+    reasons: &[10, 200, 400, 600, 800],
+    duties: &[0, 1, 2, 3],
+    zone_out: &[10, 100, 500, 1_000, target::ZONE_SERVERS],
+    log_s: 10,
+    lease_s: 300,
+    ask_s: 10,
+    census_s: 60,
+    most_rate: 16_384.0,
+    open: 64,
+    eager: 400,
+    elections: 51,
+    asks: 20,
     members: &[30, 100, 200, 400],
     far: &[28, 56, 98, 154],
     rest_s: 10,
@@ -139,6 +192,25 @@
     services: &[10, 100],
     tenants: &[10, target::TENANTS],
     changes: &[1, 2],
+    voters: &[3, 5],
+    trips_ms: &[5, 50],
+    syncs_us: &[1_000, 4_000],
+    agents: &[10, 30],
+    out: &[10, 100],
+    real_voters: &[3, 5],
+    real_agents: &[4, 8],
+    reasons: &[10, 800],
+    duties: &[0, 3],
+    zone_out: &[10, target::ZONE_SERVERS],
+    log_s: 1,
+    lease_s: 5,
+    ask_s: 2,
+    census_s: 10,
+    most_rate: 16.0,
+    open: 2,
+    eager: 20,
+    elections: 2,
+    asks: 2,
     members: &[10, 30],
     far: &[14, 28],
     rest_s: 2,
@@ -167,6 +239,9 @@
     if wanted(Role::Configuration) {
         figures.extend(configuration::measure(plan, &effort, &mut told).await?);
     }
+    if wanted(Role::Control) {
+        figures.extend(control::measure(plan, &effort, &mut told).await?);
+    }
     let machine = Machine {
         cores: std::thread::available_parallelism().map_or(1, usize::from),
         load_before: f64::from(load_before),
--- a/lab/src/scale/target.rs
+++ b/lab/src/scale/target.rs
@@ -19,6 +19,23 @@
 /// Configuration changes a day.
 pub const CHANGES_A_DAY: usize = 1_700;
 
+/// Control machines of the fleet plane.
+pub const CONTROL: usize = 9;
+/// Servers that start again in a day.
+pub const RESTARTS_A_DAY: usize = 7_500;
+/// Machines that fail in a day.
+pub const MACHINES_LOST_A_DAY: usize = 53;
+/// Servers of a zone.
+pub const ZONE_SERVERS: usize = SERVERS / ZONES;
+/// Servers out at a time, at most, and outcomes remembered, as the agreed state has it.
+pub const MOST_OUT: usize = 1_000;
+/// Outcomes remembered.
+pub const REMEMBERED: usize = 1_024;
+/// The longest round trip between two regions, in ms.
+pub const FAR_MS: f64 = 250.0;
+/// A change is in force everywhere by then, in ms.
+pub const FORCE_MS: f64 = 9_000.0;
+
 /// What a node may add to 99 in 100 answers, in ms.
 pub const ADDED_MS: f64 = 1.1;
 /// What control may use on a node: per cent of a core, MB, bytes a second.
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -70,3 +70,21 @@
     assert_eq!(figure(&results, "falsely-failed").values[0], 0.0, "fourteen members with a probe a second");
     assert_eq!(figure(&results, "region-healed").values.len(), 2, "both sizes come to agree again");
 }
+
+#[test]
+fn control_machines_are_measured_and_nothing_is_lost_on_the_way() {
+    let results = short_run("control");
+    let all = |name: &str, most: f64| {
+        let values = &figure(&results, name).values;
+        assert!(values.iter().all(|value| (0.0..=most).contains(value)), "{name}: {values:?}");
+    };
+    // In virtual time: these do not depend on the machine.
+    all("leases-lost", 0.0);
+    all("back-turned-away", 0.0);
+    all("census-silent", 0.0);
+    all("out-all", 9.0);
+    all("leader-slowest", 6.0);
+    assert_eq!(figure(&results, "entries").values, [16.0, 16.0], "the short run asks no faster");
+    assert_eq!(figure(&results, "stopped-in-turn").values, [6.0, 0.0], "three voters and five");
+    assert_eq!(figure(&results, "zone-out-refused").values, [0.0, 125.0], "1,000 servers out are the most");
+}
