--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -8,7 +8,7 @@
 use woodgap_lab::scale::results::Results;
 
 /// The files, in the order of the page.
-const ROLES: [&str; 3] = ["node.json", "agent.json", "configuration.json"];
+const ROLES: [&str; 4] = ["node.json", "agent.json", "configuration.json", "control.json"];
 
 fn docs(file: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs").join(file)
