Tests: a cold server that left gets nothing that was due to it

Need: between two tables a cold server may leave after a look-over found an attempt due to it. The test fails without the module's check (seen by taking it out).

--- a/tests/table.rs
+++ b/tests/table.rs
@@ -382,3 +382,33 @@
         assert!(loaded.goes_by(others));
     }
 }
+
+/// Cold servers are sent what is due to them by another way than the table.
+#[test]
+fn a_cold_server_that_left_gets_nothing_that_was_due_to_it() {
+    let cold: Vec<Member> = (0..400).map(|server| Member { since: 100 * SECOND, ..listed(server) }).collect();
+    let members = cold.iter().cloned().chain((400..4_000).map(listed)).collect();
+    let settings =
+        Settings { start_capacity: 0.9, ramp_time: 1_000 * SECOND, overload_for: 3 * SECOND, ..settings() };
+    let mut loaded = Loaded { node: Node::new(settings, members), number: 0 };
+    let ids = ids(0..400);
+    let mut due = 0;
+    for round in 0..60 {
+        // A look-over finds what is due; in each second round all that are cold leave right after it.
+        loaded.node.pass(100_000);
+        let leave = round % 2 == 1;
+        if leave {
+            let gone = |member: &Member| Member { state: ServerState::Terminated, ..member.clone() };
+            loaded.tell(cold.iter().map(gone).collect());
+        }
+        for _ in 0..100 {
+            let (_, server) = loaded.ask();
+            assert!(!leave || !ids.contains(&server), "{server:?} has left in round {round}");
+            due += usize::from(ids.contains(&server));
+        }
+        if leave {
+            loaded.tell(cold.clone());
+        }
+    }
+    assert!(due > 0, "they are sent something while they are there");
+}
