--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,13 +49,15 @@
 /// With no more than this part of the fleet ejected, the others have room for its work.
 const FEW_OUT: f64 = 0.2;
 const LEAST_LIMIT: f64 = 0.5;
-/// Answers that take twice the expected time are a sign too, where they are this part of the latest.
+/// Answers that take twice the expected time are a sign too, where they are this part of the latest. Not
+/// those within this part of their aim while servers hold one request or less each: nothing waits there.
 const STRAIN: f64 = 0.35;
 const STRAINED: f64 = 2.0;
+const ROOMY: f64 = 0.25;
 /// What a sweep keeps of the counts, and the answers as expected that they begin with.
 const STRAIN_KEEP: f64 = 0.9;
 const STRAIN_GUESS: f64 = 2.0;
-/// Under strain so many times what is served in the expected time, or one at each server, is kept in flight.
+/// Under strain so many times what is served in the expected time is kept in flight.
 const FLOW_ROOM: f64 = 2.0;
 const FLOW_WEIGHT: f64 = 0.07;
 /// An attempt that is out for this multiple of the expected time counts before it ends.
@@ -310,10 +312,10 @@
 struct Mood {
     /// Part of the latest answers that came late or not at all.
     late: f64,
-    /// Part of the latest answers that took far longer than expected; the fading counts of those and all.
-    strain: f64,
-    strained: f64,
-    measured: f64,
+    /// Parts of the latest answers that are a sign of too much work and that took far longer than expected;
+    /// the fading counts of both and of all.
+    strain: [f64; 2],
+    measured: [f64; 3],
     /// Part of the latest answered or failed attempts that failed.
     failing: f64,
     /// Part of the latest attempts that got no connection.
@@ -601,14 +603,14 @@
     }
 
     /// Counts an answer's time against the expected one. What hangs or is cold tells of no other server.
-    fn take_pace(&mut self, i: usize, ratio: f64, hung: bool) {
+    fn take_pace(&mut self, i: usize, ratio: f64, roomy: bool, hung: bool) {
         let warmth = self.warmth(&self.servers[i]);
         let server = &mut self.servers[i];
         server.pace.add(ratio * warmth, PACE_MEMORY);
         if !hung && warmth >= 1.0 {
             self.kinds.entry(server.member.kind).or_default().add(ratio, 3.0 * PACE_MEMORY);
-            self.mood.strained += f64::from(u8::from(ratio > STRAINED));
-            self.mood.measured += 1.0;
+            let is = [!roomy && ratio > STRAINED, ratio > STRAINED, true];
+            self.mood.measured.iter_mut().zip(is).for_each(|(count, is)| *count += f64::from(is));
             self.quickest = self.kinds.values().map(|kind| kind.mean(1.0)).fold(f64::INFINITY, f64::min);
         }
     }
@@ -617,7 +619,7 @@
         let norm = &mut self.norms[class];
         norm.answers += 1.0;
         // What jams makes slow is no norm.
-        let least = if self.mood.strain > STRAIN / 2.0 { 0.002 } else { 0.02 };
+        let least = if self.mood.strain[1] > STRAIN / 2.0 { 0.002 } else { 0.02 };
         let weight = (1.0 / norm.answers).max(least);
         let cost = cost.map_or(norm.cost, |cost| cost as f64);
         let (more_time, more_cost) = (spent - norm.mean, cost - norm.cost);
@@ -1003,18 +1005,19 @@
         let crowded = server.inflight > 0;
         let full = closed.outcome == Outcome::Full || (closed.outcome == Outcome::ConnectFailed && crowded);
         let answered = closed.outcome == Outcome::Ok;
-        let mut late = false;
         // An attempt that timed out was at least as slow as that. Where its server leaves more of ours (not
         // only this one) without a word since and few are out, it hangs: no sign of too much work for others.
         let timed_out = closed.outcome == Outcome::Timeout;
         let silent = crowded && server.quiet_since + closed.spent <= self.now;
         let hung = timed_out && silent && self.mood.ejected <= FEW_OUT;
+        // One that was given up before its aim may well have been answered in time.
+        let aim = self.settings.classes[class].aim;
+        let late = (answered || timed_out) && !hung && closed.spent > aim;
         if answered || timed_out {
-            // One that was given up before its aim may well have been answered in time.
-            late = !hung && closed.spent > self.settings.classes[class].aim;
             let sign = if hung { self.mood.late } else { f64::from(u8::from(late)) };
             self.mood.late += 0.03 * (sign - self.mood.late);
-            self.take_pace(i, (spent / expected).min(5.0), hung);
+            let idle = self.mood.usual * f64::from(self.settings.group_size) <= self.servers.len() as f64;
+            self.take_pace(i, (spent / expected).min(5.0), idle && spent <= ROOMY * aim as f64, hung);
         }
         if answered {
             self.mood.served += 1.0 / self.mood.able.max(1.0);
@@ -1162,11 +1165,10 @@
             }
         }
         self.mood.able = able;
-        self.mood.limit *= 1.0 + LIMIT_REGAIN * (1.0 - self.mood.strain / STRAIN).max(0.0);
+        self.mood.limit *= 1.0 + LIMIT_REGAIN * (1.0 - self.mood.strain[0] / STRAIN).max(0.0);
         self.count_overdue();
-        self.mood.strained *= STRAIN_KEEP;
-        self.mood.measured *= STRAIN_KEEP;
-        self.mood.strain = self.mood.strained / (self.mood.measured + STRAIN_GUESS);
+        self.mood.measured = self.mood.measured.map(|count| count * STRAIN_KEEP);
+        self.mood.strain = [0, 1].map(|n| self.mood.measured[n] / (self.mood.measured[2] + STRAIN_GUESS));
         let flow = std::mem::take(&mut self.mood.answered) / self.sweep as f64;
         self.mood.flow += FLOW_WEIGHT * (flow - self.mood.flow);
         self.mood.usual += 0.1 * (f64::from(self.inflight) - self.mood.usual);
@@ -1182,7 +1184,8 @@
             for attempt in out {
                 // Until its time is up it may be waiting for its connection.
                 let least = self.settings.dial_timeout as f64 + attempt.expected;
-                if ((self.now - attempt.sent) as f64) < (OVERDUE * attempt.expected).max(least) {
+                let roomy = ROOMY * self.settings.classes[pending.class].aim as f64;
+                if ((self.now - attempt.sent) as f64) < (OVERDUE * attempt.expected).max(least).max(roomy) {
                     continue;
                 }
                 attempt.overdue = true;
@@ -1193,12 +1196,9 @@
                 overdue.push((i, silent && self.mood.ejected <= FEW_OUT));
             }
         }
-        overdue.into_iter().for_each(|(i, hung)| self.take_pace(i, OVERDUE, hung));
-        // While the servers hold no more than these, hardly any request waits: what is slow has another cause.
-        let up = self.servers.iter().filter(|s| s.ready && s.ban.until.is_none()).count() as f64;
-        let borne = (FLOW_ROOM * up / f64::from(self.settings.group_size)).max(1.0);
-        if self.mood.strain > STRAIN && self.mood.usual > borne {
-            self.mood.limit = self.mood.limit.min((FLOW_ROOM * self.mood.flow).max(borne));
+        overdue.into_iter().for_each(|(i, hung)| self.take_pace(i, OVERDUE, false, hung));
+        if self.mood.strain[0] > STRAIN {
+            self.mood.limit = self.mood.limit.min((FLOW_ROOM * self.mood.flow).max(1.0));
         }
     }
 
--- a/src/brain/report.rs
+++ b/src/brain/report.rs
@@ -5,7 +5,7 @@
 impl Balancer {
     /// What governs the decisions, and the servers that do not carry all their slots, for the log.
     pub fn mood(&self) -> String {
-        let Mood { limit, flow, strain, late, failing, ejected, .. } = self.mood;
+        let Mood { limit, flow, strain: [strain, _], late, failing, ejected, .. } = self.mood;
         let mut text =
             format!("in flight {} of {limit:.1}, flow {flow:.1} strain {strain:.2}, ", self.inflight);
         text += &format!("late {late:.2}, failing {failing:.2}, ejected {ejected:.2}");
