--- a/fleet/src/config/mod.rs
+++ b/fleet/src/config/mod.rs
@@ -224,9 +224,11 @@
 
 fn windows(plane: &Section<'_, '_>, fleet: String) -> membership::Settings {
     let usual = membership::Settings::default();
+    let probe_interval = plane.span("probe-interval").unwrap_or(usual.probe_interval);
+    let (rate, burst) = membership::Settings::usual_pace(probe_interval);
     let settings = membership::Settings {
         fleet,
-        probe_interval: plane.span("probe-interval").unwrap_or(usual.probe_interval),
+        probe_interval,
         probe_timeout: plane.span("probe-timeout").unwrap_or(usual.probe_timeout),
         indirect_probes: plane.number("indirect-probes").unwrap_or(usual.indirect_probes),
         suspicion_mult: plane.number("suspicion-mult").unwrap_or(usual.suspicion_mult),
@@ -240,8 +242,8 @@
         seed_interval: plane.span("seed-interval").unwrap_or(usual.seed_interval),
         settle: plane.span("settle").unwrap_or(usual.settle),
         hold: plane.span("hold").unwrap_or(usual.hold),
-        rate: plane.number("rate").unwrap_or(usual.rate),
-        burst: plane.number("burst").unwrap_or(usual.burst),
+        rate: plane.number("rate").unwrap_or(rate),
+        burst: plane.number("burst").unwrap_or(burst),
         most_members: plane.number("most-members").unwrap_or(usual.most_members),
         formats: membership::Formats {
             newest: plane.number("format").unwrap_or(usual.formats.newest),
--- a/fleet/src/membership/settings.rs
+++ b/fleet/src/membership/settings.rs
@@ -145,6 +145,15 @@
         faults
     }
 
+    /// Rate and burst that suit a probe interval: suspects have less time where probes come faster, and their
+    /// refutations must be told within it.
+    pub fn usual_pace(probe_interval: Duration) -> (usize, usize) {
+        let usual = Settings::default();
+        let times = usual.probe_interval.as_secs_f64() / probe_interval.as_secs_f64().max(0.005);
+        let scaled = |bytes: usize| (bytes as f64 * times.max(1.0)) as usize;
+        (scaled(usual.rate), scaled(usual.burst))
+    }
+
     /// The least and the longest suspicion time-out among so many members.
     pub fn suspicion(&self, members: usize) -> (Micros, Micros) {
         let scale = (members.max(1) as f64).log10().max(1.0);
--- a/lab/src/plane/virt.rs
+++ b/lab/src/plane/virt.rs
@@ -447,8 +447,12 @@
 
 /// Windows as in the aims: a member is probed each 200 ms.
 pub fn brisk() -> Settings {
+    let probe_interval = Duration::from_millis(200);
+    let (rate, burst) = Settings::usual_pace(probe_interval);
     Settings {
-        probe_interval: Duration::from_millis(200),
+        rate,
+        burst,
+        probe_interval,
         probe_timeout: Duration::from_millis(60),
         gossip_interval: Duration::from_millis(100),
         rejoin_interval: Duration::from_millis(300),
