Agreed log: what waited for a write is written together

Cause: Voter::drain took one waiting event, wrote it synced, and only then the next; at 2 ms a write the log bore 240 entries a second, and what was proposed again each 300 ms took all of it. Change: all that waits is taken before the next write. What a message may refer to goes by the log with what is not written yet: a heartbeat beyond entries that are being replaced made the crate panic otherwise (test). The tests fail without.

--- a/fleet/src/agreement/mod.rs
+++ b/fleet/src/agreement/mod.rs
@@ -10,3 +10,6 @@
 pub use log::{Change, Conf, Content, Hard, Item, Kept, Role, Save, SnapshotKept};
 pub use message::{Fault as AgreementFault, LONGEST_COMMAND};
 pub use voter::{Action, Dropped, Event, Settings, Voter, VoterError, VoterId};
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/agreement/voter.rs
+++ b/fleet/src/agreement/voter.rs
@@ -251,7 +251,9 @@
             Event::Message(bytes) => {
                 // What can't be read is dropped, as a network may: the sender tries again. What is stale or out of
                 // place, the crate refuses.
-                match decode(&bytes, self.settings.me, self.log.last()) {
+                // What came just before may not be saved yet.
+                let last = self.raw.raft.raft_log.last_index();
+                match decode(&bytes, self.settings.me, last) {
                     Ok(message) => drop(self.raw.step(message)),
                     Err(Fault::Unreadable) => self.dropped.unreadable += 1,
                     Err(Fault::Stranger) => self.dropped.stranger += 1,
@@ -284,13 +286,15 @@
         }
     }
 
-    /// Handles what Raft has ready, until something has to be saved first.
+    /// Handles what Raft has ready, until something has to be saved first. All that waited is taken before: one save
+    /// holds it together, however much came while the last one was written.
     fn drain(&mut self, actions: &mut Vec<Action>) {
         while self.saving.is_none() {
-            if !self.raw.has_ready() {
-                let Some(event) = self.waiting.pop_front() else { break };
+            while let Some(event) = self.waiting.pop_front() {
                 self.take(event, actions);
-                continue;
+            }
+            if !self.raw.has_ready() {
+                break;
             }
             let mut ready = self.raw.ready();
             let sends = ready.take_messages();
