Agents: a call that waits for the agreed log keeps no other out, and ends with its caller

Cause: a call held one of 16 places until it was answered; the 16 are for reading, as each may be 4 MiB. An ask outlived its call by a second, and the end of the first call of a request took the answer away from the second one. Change: a place for reading goes back once the main task has looked at the call (the permit travels with it); 256 calls may wait. An ask that came by a call ends with it, and one that comes again closes the one before; both on time and not up to 0.3 s later. Desks take 512 asks.

--- a/fleet/src/duty/desk/asks.rs
+++ b/fleet/src/duty/desk/asks.rs
@@ -11,12 +11,14 @@
 use crate::membership::Name;
 use crate::Micros;
 
-/// An ask that is not agreed by then is answered so: it may be yet.
-const PATIENCE: Micros = 3_000_000;
-/// It is proposed again this often: a change of leader loses proposals.
+/// An ask of staff's that is not agreed by then is answered so: it may be yet.
+pub(super) const PATIENCE: Micros = 3_000_000;
+/// A call from one agent to another ends by then, at either end: what it asked for is proposed for nobody later.
+pub const CALL_PATIENCE: Micros = 2_000_000;
+/// It is proposed again this often: messages get lost, and a change of leader loses proposals.
 const AGAIN: Micros = 300_000;
-/// Asks at a time.
-const MOST: usize = 64;
+/// Asks at a time: more than the calls that an agent takes from others and from staff.
+const MOST: usize = 512;
 
 /// What staff may ask for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -122,7 +124,18 @@
 }
 
 impl Desk {
-    pub(super) fn ask(&mut self, now: Micros, ask: u64, request: Request, actions: &mut Vec<Action>) {
+    pub(super) fn ask(
+        &mut self,
+        now: Micros,
+        ask: u64,
+        request: Request,
+        patience: Micros,
+        actions: &mut Vec<Action>,
+    ) {
+        // Whoever asks again has given the call before up, which holds its place for nobody.
+        if let Some(before) = self.asks.by_command.get(&request.id).copied() {
+            self.asks.close(before, Answer::Tried("asked again".into()), actions);
+        }
         let (all, missing) = (self.voters().len(), self.missing());
         let present = all - missing.len();
         let refusal = if all == 0 {
@@ -138,7 +151,7 @@
             return actions.push(Action::Answer { ask, answer: Answer::Refused(refusal) });
         }
         self.asks.by_command.insert(request.id, ask);
-        let open = Ask { request, until: now + PATIENCE, again: now, away: false, tried: false, token: None };
+        let open = Ask { request, until: now + patience, again: now, away: false, tried: false, token: None };
         self.asks.open.insert(ask, open);
         self.try_asks(now, actions);
     }
@@ -156,7 +169,7 @@
                 self.asks.close(id, Answer::Tried(format!("not agreed in time{lacking}")), actions);
                 continue;
             }
-            ask.again = now + AGAIN;
+            ask.again = (now + AGAIN).min(ask.until);
             let (Request { id: command, wish }, token) = (ask.request.clone(), ask.token);
             if let Some(answer) = self.try_wish(now, id, command, wish, token, actions) {
                 self.asks.close(id, answer, actions);
--- a/fleet/src/duty/desk/mod.rs
+++ b/fleet/src/duty/desk/mod.rs
@@ -19,8 +19,8 @@
 
 pub use acts::Act;
 use acts::Acts;
-use asks::Asks;
-pub use asks::{Answer, Request, Wish};
+pub use asks::{Answer, Request, Wish, CALL_PATIENCE};
+use asks::{Asks, PATIENCE};
 pub use events::{Action, Event, Member, Start};
 pub use report::{DeskReport, DutyReport};
 pub use voters::{founded, joining_id, voter_id};
@@ -141,9 +141,9 @@
             Event::Asked { ask, wish } => {
                 self.number += 1;
                 let request = Request { id: CommandId(self.me.process, self.number), wish };
-                self.ask(now, ask, request, actions);
+                self.ask(now, ask, request, PATIENCE, actions);
             }
-            Event::Request { ask, request } => self.ask(now, ask, request, actions),
+            Event::Request { ask, request } => self.ask(now, ask, request, CALL_PATIENCE, actions),
             Event::Forwarded { ask, answer } => self.forwarded(ask, answer, actions),
             Event::Act { ask, act } => self.acted_on(ask, act, actions),
             Event::Acted { to, version, answer } => self.acts.ended(now, &to, version, answer),
@@ -373,3 +373,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/host/mod.rs
+++ b/fleet/src/host/mod.rs
@@ -22,7 +22,7 @@
 use rand::random;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
 use tracing::{info, warn};
 
 use crate::census::{CensusReport, Tally};
@@ -39,6 +39,7 @@
 use desk::{Asker, DeskHost};
 use node::NodeHost;
 pub use pidfile::{PidFile, Running};
+pub use wire::{BACKLOG, CALLERS};
 
 /// Messages between the tasks, at most: what waits longer for the main task is turned away.
 const QUEUE: usize = 256;
@@ -85,8 +86,8 @@
 
 /// What the tasks tell the main one.
 enum Msg {
-    /// Another agent calls.
-    Called { bytes: Vec<u8>, answer: oneshot::Sender<Vec<u8>> },
+    /// Another agent calls. Its place among those that are read is free once this is looked at.
+    Called { bytes: Vec<u8>, answer: oneshot::Sender<Vec<u8>>, reading: OwnedSemaphorePermit },
     /// A call came to its end.
     CallEnded { call: CallId, answer: Option<Vec<u8>> },
     /// The node.
@@ -254,7 +255,7 @@
 
     fn message(&mut self, msg: Msg) {
         match msg {
-            Msg::Called { bytes, answer } => {
+            Msg::Called { bytes, answer, reading: _reading } => {
                 self.conn_number += 1;
                 let conn = self.conn_number;
                 self.conns.insert(conn, answer);
--- a/fleet/src/host/wire.rs
+++ b/fleet/src/host/wire.rs
@@ -14,13 +14,17 @@
 use tokio::time::{sleep, timeout};
 
 use super::Msg;
+use crate::duty::desk::CALL_PATIENCE;
 use crate::membership::LONGEST_STREAM;
 
 /// A call and its answer, at most.
-const PATIENCE: Duration = Duration::from_secs(2);
-/// Calls taken at a time.
-const CALLERS: usize = 16;
-const BACKLOG: i32 = 128;
+const PATIENCE: Duration = Duration::from_micros(CALL_PATIENCE);
+/// Calls at a time that are read, or read and not looked at yet: each may be as long as a whole view.
+pub const READERS: usize = 16;
+/// Calls at a time that wait for their answer, and hold next to nothing while they do.
+pub const CALLERS: usize = 256;
+/// Calls that wait in the socket's queue. A caller that has gone can't be told from one that waits there, so it is short.
+pub const BACKLOG: usize = 128;
 
 /// A listening socket that a process started again finds free.
 pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
@@ -28,17 +32,18 @@
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&addr.into())?;
-    socket.listen(BACKLOG)?;
+    socket.listen(BACKLOG as i32)?;
     TcpListener::from_std(socket.into())
 }
 
 /// Takes calls from other agents for as long as this one lives.
 pub async fn accept(listener: TcpListener, tx: mpsc::Sender<Msg>) {
+    let readers = Arc::new(Semaphore::new(READERS));
     let call = |stream| {
-        let tx = tx.clone();
+        let (tx, readers) = (tx.clone(), readers.clone());
         async move {
             // A caller that breaks off or dawdles is its own loss.
-            let _ = timeout(PATIENCE, serve(stream, tx)).await;
+            let _ = timeout(PATIENCE, serve(stream, tx, readers)).await;
         }
     };
     each(listener, CALLERS, call).await;
@@ -66,10 +71,11 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, tx: mpsc::Sender<Msg>) -> io::Result<()> {
+async fn serve(mut stream: TcpStream, tx: mpsc::Sender<Msg>, readers: Arc<Semaphore>) -> io::Result<()> {
+    let Ok(reading) = readers.acquire_owned().await else { return Ok(()) };
     let bytes = read(&mut stream).await?;
     let (answer, answered) = oneshot::channel();
-    if tx.send(Msg::Called { bytes, answer }).await.is_ok() {
+    if tx.send(Msg::Called { bytes, answer, reading }).await.is_ok() {
         if let Ok(bytes) = answered.await {
             stream.write_all(&bytes).await?;
         }
@@ -100,3 +106,6 @@
     stream.take(LONGEST_STREAM as u64 + 1).read_to_end(&mut bytes).await?;
     Ok(bytes)
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/tests/duties.rs
+++ b/fleet/tests/duties.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fleet::{tokens, Fleet, AMPLE};
@@ -64,6 +65,73 @@
     fleet.until_out(&[0, 1, 2, 3, 4], &["api-0", "api-1", "api-2", "api-3"]).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_asks_at_once_take_effect_once_also_when_the_leader_dies_among_them() {
+    let mut fleet = Fleet::whole().await;
+    let ask = async |fleet: &Fleet, agent: usize, from: usize| {
+        let servers = from..from + 8;
+        let paths: Vec<String> = servers.map(|server| format!("/out?server=api-{server:02}")).collect();
+        let asks = paths.iter().map(|path| fleet.agents.ask(agent, path));
+        futures_util::future::join_all(asks).await
+    };
+    // Eight at a time at each agent, as many as its staff's address takes.
+    let answers = futures_util::future::join_all((0..5).map(|agent| ask(&fleet, agent, 8 * agent))).await;
+    assert!(
+        answers.iter().flatten().all(|answer| answer.as_ref().is_some_and(Answer::is_done)),
+        "{answers:?}"
+    );
+    let all: Vec<String> = (0..40).map(|server| format!("api-{server:02}")).collect();
+    let all: Vec<&str> = all.iter().map(String::as_str).collect();
+    fleet.until_out(&[0, 1, 2, 3, 4], &all).await;
+    let reports = fleet.reports(&[0, 1, 2]).await;
+    let leader = reports.iter().find_map(|report| report.leader.clone()).unwrap();
+    let leader: usize = leader.as_str()[1..].parse().unwrap();
+    let others: Vec<usize> = (0..5).filter(|&agent| agent != leader).collect();
+    // The others ask again, for other servers, and the leader dies as soon as one of them has its yes.
+    let agents = &fleet.agents;
+    let first = tokio::sync::Notify::new();
+    let asks = others.iter().flat_map(|&agent| (0..8).map(move |nth| (agent, 40 + 8 * agent + nth)));
+    let asks = asks.map(|(agent, server)| {
+        let first = &first;
+        async move {
+            let answer = agents.ask(agent, &format!("/out?server=api-{server:02}")).await;
+            first.notify_one();
+            (server, answer)
+        }
+    });
+    let kill = async {
+        first.notified().await;
+        agents.signal(leader, Signal::SIGKILL);
+    };
+    let (answers, ()) = tokio::join!(futures_util::future::join_all(asks), kill);
+    fleet.agents.kill(leader);
+    let living: Vec<usize> = others.iter().copied().filter(|agent| *agent < 3).collect();
+    let reports = fleet.until_held(&living).await;
+    let out = |server: usize| reports[0].out.contains_key(&format!("api-{server:02}"));
+    for (server, answer) in &answers {
+        match answer {
+            Some(Answer::Done(_)) => assert!(out(*server), "api-{server} got a yes and is not out"),
+            Some(Answer::Refused(why)) => assert!(!out(*server), "api-{server} is out after a no: {why}"),
+            Some(Answer::Tried(_)) | None => {}
+        }
+    }
+    assert!(answers.iter().any(|(_, answer)| answer.as_ref().is_some_and(Answer::is_done)));
+    fleet.start(leader);
+    fleet.agents.until_whole(&[0, 1, 2, 3, 4], AMPLE).await;
+    // What was only tried is asked for again, and is harmless.
+    for (server, answer) in &answers {
+        if !answer.as_ref().is_some_and(Answer::is_done) {
+            fleet.yes(others[0], &format!("/out?server=api-{server:02}")).await;
+        }
+    }
+    let out: BTreeSet<String> = (0..40)
+        .chain(answers.iter().map(|(server, _)| *server))
+        .map(|server| format!("api-{server:02}"))
+        .collect();
+    let out: Vec<&str> = out.iter().map(String::as_str).collect();
+    fleet.until_out(&[0, 1, 2, 3, 4], &out).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_holder_cut_off_with_a_minority_or_paused_gives_way_and_its_late_acts_change_nothing() {
     let fleet = Fleet::whole().await;
