--- a/fleet/src/census/mod.rs
+++ b/fleet/src/census/mod.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use meter::{Gauges, Meter, Now, Reading};
-pub use sums::{Census, CensusReport, Row};
+pub use sums::{Census, CensusReport, Row, A_SECOND};
 pub use watch::{Settings as WatchSettings, Watch};
 
 use crate::duty::Duty;
