Node: a client that reads a long response slowly is no longer cut off

Cause: a write to a full socket waited until the system reported it as writable and gave the client up after 10 s. Linux reports that only once a third of the send buffer is free; at 4 MB and 66 kB/s that takes 20 s. Measured with two plain sockets: full after 3,973,120 bytes, writable again after 18.4 s, 23.0 s, 23.0 s; in the same time a sender that tried every 0.1 s got bytes through every 1.6 to 1.8 s. The receiver's system does likewise: it announces room only once a sixteenth of its buffer is free. Where the client had read 8 MB fast before, even the trying sender saw pauses of 10.8, 13.9 and 14.8 s.

Change: `StallGuard` tries a waiting write every 0.25 s without asking whether the socket is writable, and gives a client that has taken much lately the time to read it at 48 kB/s, at most for 2 MiB (44 s). The log has `stalled-clients`: a client that was given up could not be told from one that left.

A client that takes nothing is closed after 10 s, as docs/operations.md has it, and after 44 s at the most.

--- a/src/bin/load-balancer/body.rs
+++ b/src/bin/load-balancer/body.rs
@@ -19,6 +19,7 @@
 use crate::metrics::RequestOutcome;
 use crate::shutdown_deadline::ShutdownDeadline;
 use crate::stream::RequestProgress;
+use crate::write_stall::{time_at_min_rate, STALL_TIMEOUT};
 
 /// Longest body that is buffered. The latency of a buffered response counts up to its last byte, that of a
 /// streamed one up to its first bytes.
@@ -28,11 +29,6 @@
 /// Longest total wait for a client's body, in addition to the time that the bytes received so far take at the
 /// minimum rate. A client that sends no complete request must get an error or a close within 3 s.
 const UPLOAD_GRACE: Duration = Duration::from_millis(2_600);
-/// Minimum rate at which a client must send its body, in bytes per second: three quarters of the rate of the
-/// platform's slowest clients.
-const MIN_UPLOAD_BYTES_PER_SECOND: u64 = 48_000;
-/// A server or a client that neither reads nor sends a byte for this long is considered gone.
-pub const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// A response of unknown length is held back for this long, to see whether it is short.
 const BUFFERING_TIMEOUT: Duration = Duration::from_millis(50);
 /// After an early response, the rest of the request's body is read and discarded for up to this long, so that
@@ -229,10 +225,7 @@
         if self.waiting_since.is_none() {
             let now = Instant::now();
             self.waiting_since = Some(now);
-            let allowed = UPLOAD_GRACE
-                + Duration::from_micros(
-                    self.received_bytes * 1_000_000 / MIN_UPLOAD_BYTES_PER_SECOND,
-                );
+            let allowed = UPLOAD_GRACE + time_at_min_rate(self.received_bytes);
             self.timer
                 .as_mut()
                 .reset(now + allowed.saturating_sub(self.total_wait).min(STALL_TIMEOUT));
--- a/src/bin/load-balancer/clients.rs
+++ b/src/bin/load-balancer/clients.rs
@@ -322,7 +322,11 @@
             .max_buf_size(MAX_HEAD_BYTES)
             .max_headers(MAX_HEADERS)
             .serve_connection(
-                TokioIo::new(ClientSocket::new(stream.clone(), client_connection.clone())),
+                TokioIo::new(ClientSocket::new(
+                    stream.clone(),
+                    client_connection.clone(),
+                    self.metrics.clone(),
+                )),
                 service,
             );
         let mut connection = std::pin::pin!(connection);
--- a/src/bin/load-balancer/connection.rs
+++ b/src/bin/load-balancer/connection.rs
@@ -1,21 +1,21 @@
 //! A client's connection: its state and its socket.
 
 use std::cell::{Cell, RefCell};
-use std::future::Future;
 use std::io;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep, sleep_until, Instant, Sleep};
+use tokio::time::{sleep_until, Instant};
 
-use crate::body::STALL_TIMEOUT;
+use crate::metrics::Metrics;
+use crate::write_stall::{is_stalled, StallGuard};
 
 /// A client must have sent the head of its first request within this time of connecting: one that sends no
 /// complete request must get an error or a close within 3 s.
@@ -187,45 +187,27 @@
     }
 }
 
-/// A client's socket. Writing fails if the client reads nothing of its response for [`STALL_TIMEOUT`].
+/// A client's socket. Writing fails if the client has stopped reading its response (see [`StallGuard`]).
 pub struct ClientSocket {
     socket: Rc<TcpStream>,
     client_connection: Rc<ConnectionState>,
-    /// Runs while a write waits for the client to read.
-    write_timeout: Option<Pin<Box<Sleep>>>,
+    stall_guard: StallGuard,
+    metrics: Rc<Metrics>,
 }
 
 impl ClientSocket {
-    pub fn new(socket: Rc<TcpStream>, client_connection: Rc<ConnectionState>) -> Self {
+    pub fn new(
+        socket: Rc<TcpStream>,
+        client_connection: Rc<ConnectionState>,
+        metrics: Rc<Metrics>,
+    ) -> Self {
         ClientSocket {
             socket,
             client_connection,
-            write_timeout: None,
+            stall_guard: StallGuard::new(),
+            metrics,
         }
     }
-
-    fn write(
-        &mut self,
-        cx: &mut Context<'_>,
-        mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        while self.socket.poll_write_ready(cx)?.is_ready() {
-            match write(&self.socket) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => {
-                    self.write_timeout = None;
-                    return Poll::Ready(written);
-                }
-            }
-        }
-        let timer = self
-            .write_timeout
-            .get_or_insert_with(|| Box::pin(sleep(STALL_TIMEOUT)));
-        timer
-            .as_mut()
-            .poll(cx)
-            .map(|()| Err(io::ErrorKind::TimedOut.into()))
-    }
 }
 
 impl AsyncRead for ClientSocket {
@@ -235,7 +217,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            std::task::ready!(self.socket.poll_read_ready(cx))?;
+            ready!(self.socket.poll_read_ready(cx))?;
             match self.socket.try_read(buffer.initialize_unfilled()) {
                 Ok(read) => {
                     let before = buffer.filled().len();
@@ -255,11 +237,11 @@
 
 impl AsyncWrite for ClientSocket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.write(cx, |socket| socket.try_write(data))
+        self.poll_write_vectored(cx, &[io::IoSlice::new(data)])
     }
 
     fn poll_write_vectored(
@@ -267,7 +249,17 @@
         cx: &mut Context<'_>,
         data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.write(cx, |socket| socket.try_write_vectored(data))
+        let ClientSocket {
+            socket,
+            stall_guard,
+            metrics,
+            ..
+        } = &mut *self;
+        let written = ready!(stall_guard.poll_write(cx, socket, data));
+        if is_stalled(&written) {
+            metrics.clients_stalled.increment();
+        }
+        Poll::Ready(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/bin/load-balancer/main.rs
+++ b/src/bin/load-balancer/main.rs
@@ -26,6 +26,7 @@
 mod startup;
 mod stream;
 mod task;
+mod write_stall;
 
 use std::collections::HashMap;
 use std::path::PathBuf;
--- a/src/bin/load-balancer/metrics/export.rs
+++ b/src/bin/load-balancer/metrics/export.rs
@@ -98,6 +98,7 @@
             LoggedCounter::new("failed", total(RequestOutcome::Failed)),
             LoggedCounter::new("late", self.deadlines_exceeded.get()),
             LoggedCounter::new("gone", self.clients_disconnected.get()),
+            LoggedCounter::new("stalled-clients", self.clients_stalled.get()),
             LoggedCounter::new("dialled", self.connections_opened.get()),
             LoggedCounter::new("forwards", self.requests_forwarded.get()),
         ]
--- a/src/bin/load-balancer/metrics/mod.rs
+++ b/src/bin/load-balancer/metrics/mod.rs
@@ -87,6 +87,9 @@
     pub requests_malformed: Counter,
     /// Client connections closed because no complete first request head arrived in time.
     pub head_timeouts: Counter,
+    /// Client connections closed because the client stopped reading its response. Their requests count as
+    /// disconnected too.
+    pub clients_stalled: Counter,
     /// Connection attempts to servers, successful or not.
     pub connections_opened: Counter,
     /// Attempts whose request was written to a server completely. Health checks don't count.
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -16,6 +16,7 @@
 mod requests;
 mod restart;
 mod server_connections;
+mod slow_peers;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- /dev/null
+++ b/tests/node/slow_peers.rs
@@ -0,0 +1,155 @@
+//! Long bodies to clients and servers that read slowly, and the end of those that read nothing.
+
+use super::*;
+
+/// Rate at which the slowest clients of the platform move a body, in bytes per second.
+const SLOWEST_RATE: usize = 64_000;
+/// Interval between two reads or writes of a slow peer.
+const PACE: Duration = Duration::from_millis(100);
+/// Longer than the node lets a peer take or give nothing.
+const SLOW_TIME: Duration = Duration::from_secs(16);
+/// Far more than the systems of both sides keep for a peer that reads slowly.
+const BODY_BYTES: usize = 16 << 20;
+
+fn body() -> Vec<u8> {
+    (0..BODY_BYTES).map(|n| (n % 251) as u8).collect()
+}
+
+/// A node with one server, whose connections the test reads and writes itself.
+fn node_with_scripted_server() -> (NodeFixture, Receiver<TcpStream>) {
+    let (server, connections) = scripted_listener();
+    let fixture = NodeFixture::configured(0, &[], |config| {
+        config["known"]["members"] = json!([member_at("s-scripted", server)]);
+    });
+    (fixture, connections)
+}
+
+/// A stream of which at most the slowest rate is read or written at first, and then all as fast as it goes.
+struct Throttled<S> {
+    stream: S,
+    start: Instant,
+    moved: usize,
+}
+
+impl<S> Throttled<S> {
+    fn new(stream: S) -> Self {
+        Throttled {
+            stream,
+            start: Instant::now(),
+            moved: 0,
+        }
+    }
+
+    /// Waits for the next turn. Returns how many bytes may be moved then.
+    fn next_share(&self) -> usize {
+        if self.start.elapsed() >= SLOW_TIME {
+            return BODY_BYTES;
+        }
+        let due = Duration::from_micros((self.moved * 1_000_000 / SLOWEST_RATE) as u64);
+        thread::sleep(due.saturating_sub(self.start.elapsed()));
+        SLOWEST_RATE * PACE.as_millis() as usize / 1_000
+    }
+}
+
+impl<S: Read> Read for Throttled<S> {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        let share = self.next_share().min(buffer.len());
+        let read = self.stream.read(&mut buffer[..share])?;
+        self.moved += read;
+        Ok(read)
+    }
+}
+
+impl<S: Write> Write for Throttled<S> {
+    fn write(&mut self, data: &[u8]) -> std::io::Result<usize> {
+        let share = self.next_share().min(data.len());
+        let written = self.stream.write(&data[..share])?;
+        self.moved += written;
+        Ok(written)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        self.stream.flush()
+    }
+}
+
+/// Reads the request on a server's connection. Returns its id, which ends with the framing of the response.
+fn read_request(stream: &TcpStream) -> String {
+    let mut input = BufReader::new(stream.try_clone().unwrap());
+    Message::read(&mut input)
+        .expect("no request")
+        .header("x-txn")
+        .to_owned()
+}
+
+/// Writes a response with this framing as fast as the node takes it.
+fn write_response(output: &mut impl Write, framing: Framing, body: &[u8]) -> std::io::Result<()> {
+    match framing {
+        Framing::Length => write!(
+            output,
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        )?,
+        Framing::Chunked => return write_chunked_response(output, body),
+        Framing::End => output.write_all(b"HTTP/1.1 200 OK\r\n\r\n")?,
+    }
+    output.write_all(body)
+}
+
+fn write_chunked_response(output: &mut impl Write, body: &[u8]) -> std::io::Result<()> {
+    output.write_all(CHUNKED_HEAD)?;
+    write_chunks(output, body)
+}
+
+/// A framing and the id of a request for a response with it.
+const FRAMINGS: [(Framing, &str); 3] = [
+    (Framing::Length, "length"),
+    (Framing::Chunked, "chunked"),
+    (Framing::End, "end"),
+];
+
+/// Serves each connection with the response for which the request's id asks.
+fn serve_long_responses(connections: Receiver<TcpStream>) {
+    thread::spawn(move || {
+        for mut stream in connections {
+            thread::spawn(move || {
+                let id = read_request(&stream);
+                let framing = FRAMINGS.iter().find(|(_, name)| *name == id).unwrap().0;
+                let _ = write_response(&mut stream, framing, &body());
+            });
+        }
+    });
+}
+
+// Guards against a long response that is cut off because its client, which reads all the time, reads slowly: the system
+// reports the client's socket as writable only once a third of its send buffer is free.
+#[test]
+fn a_client_that_reads_a_long_response_slowly_gets_all_of_it() {
+    let (fixture, connections) = node_with_scripted_server();
+    serve_long_responses(connections);
+    let clients = FRAMINGS.map(|(framing, id)| {
+        let stream = fixture.send(&request("look", id, 60_000));
+        thread::spawn(move || {
+            let response = Message::read(&mut BufReader::new(Throttled::new(stream)))
+                .unwrap_or_else(|| panic!("{framing:?}: the response was cut off"));
+            assert!(response.body == body(), "{framing:?}: the body was changed");
+        })
+    });
+    for client in clients {
+        client.join().unwrap();
+    }
+}
+
+// A client that reads nothing must not hold a server's connection for ever.
+#[test]
+fn a_client_that_reads_nothing_of_a_long_response_is_closed() {
+    let (fixture, connections) = node_with_scripted_server();
+    let _client = fixture.send(&request("look", "length", 60_000));
+    let mut server = connections.recv_timeout(TEST_TIMEOUT).unwrap();
+    read_request(&server);
+    let start = Instant::now();
+    write_response(&mut server, Framing::Length, &body())
+        .expect_err("the client's response was taken whole");
+    assert!(start.elapsed() < TEST_TIMEOUT, "{:?}", start.elapsed());
+    fixture.log.wait_for_line(&["stalled-clients 1"]);
+}
