Node: a long request to a server that reads slowly no longer fails

The node took the server for gone when its connection had not asked for a part of the body for 12.5 to 15 s.

Change: `UpstreamSocket` writes through `StallGuard`, which finds the stall itself; `Upload::last_polled_at` and its loop go. A stalled attempt counts as timed out, as before, and `stalled-servers` in the log tells it from a late response.

--- a/src/bin/load-balancer/body.rs
+++ b/src/bin/load-balancer/body.rs
@@ -169,8 +169,6 @@
     deadline: Cell<Option<Instant>>,
     /// Whether a part has been passed to a server, so that the request can't be sent again.
     partly_sent: Cell<bool>,
-    /// When the connection to the server last polled for a part.
-    last_polled_at: Cell<Instant>,
     /// Notified when the reception ends: `stage` changes from `Receiving`.
     ended: Notify,
 }
@@ -263,7 +261,6 @@
             stage: Cell::new(Stage::Receiving),
             deadline: Cell::new(None),
             partly_sent: Cell::new(false),
-            last_polled_at: Cell::new(now),
             ended: Notify::new(),
         })
     }
@@ -325,7 +322,6 @@
 
     /// Polls for the next part to pass to a server.
     fn poll_outgoing(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
-        self.last_polled_at.set(Instant::now());
         let buffered = self.source.borrow_mut().buffered.pop_front();
         let part = match buffered {
             Some(part) => Some(Ok(part)),
@@ -367,22 +363,12 @@
         }
     }
 
-    /// Waits until the server has run out of time: at the request's deadline once the body is complete, or
-    /// when the connection to the server has not polled for a part of the body for too long.
-    pub async fn server_timed_out(&self) {
-        loop {
-            match timeout(STALL_TIMEOUT / 4, self.complete()).await {
-                Ok(Ok(deadline)) => return sleep_until(deadline).await,
-                Ok(Err(_)) => std::future::pending().await,
-                // While the node waits for the client, parts are polled at least once per `STALL_TIMEOUT`: a
-                // longer pause is the server's.
-                Err(_)
-                    if self.last_polled_at.get().elapsed() > STALL_TIMEOUT + STALL_TIMEOUT / 4 =>
-                {
-                    return
-                }
-                Err(_) => {}
-            }
+    /// Waits until the server has run out of time for its response: at the request's deadline once the body is
+    /// complete. While it is not, the connection to the server finds out whether the server still reads it.
+    pub async fn response_timed_out(&self) {
+        match self.complete().await {
+            Ok(deadline) => sleep_until(deadline).await,
+            Err(_) => std::future::pending().await,
         }
     }
 
--- a/src/bin/load-balancer/metrics/export.rs
+++ b/src/bin/load-balancer/metrics/export.rs
@@ -99,6 +99,7 @@
             LoggedCounter::new("late", self.deadlines_exceeded.get()),
             LoggedCounter::new("gone", self.clients_disconnected.get()),
             LoggedCounter::new("stalled-clients", self.clients_stalled.get()),
+            LoggedCounter::new("stalled-servers", self.servers_stalled.get()),
             LoggedCounter::new("dialled", self.connections_opened.get()),
             LoggedCounter::new("forwards", self.requests_forwarded.get()),
         ]
--- a/src/bin/load-balancer/metrics/mod.rs
+++ b/src/bin/load-balancer/metrics/mod.rs
@@ -92,6 +92,8 @@
     pub clients_stalled: Counter,
     /// Connection attempts to servers, successful or not.
     pub connections_opened: Counter,
+    /// Connections to servers closed because the server stopped reading a request. Their attempts count as timed out.
+    pub servers_stalled: Counter,
     /// Attempts whose request was written to a server completely. Health checks don't count.
     pub requests_forwarded: Counter,
     /// Configuration reloads that took effect.
--- a/src/bin/load-balancer/servers.rs
+++ b/src/bin/load-balancer/servers.rs
@@ -479,7 +479,8 @@
     /// Sends a request and returns how the attempt ended. Dropping the future closes the connection.
     ///
     /// The attempt times out at `deadline`. Without a deadline, the request's body is still arriving, and the attempt
-    /// times out if that takes too long.
+    /// times out at the deadline that the request has once its body is complete. At any time it times out if the server
+    /// has stopped reading the request.
     pub async fn attempt(
         self: &Rc<Self>,
         server: ServerId,
@@ -501,19 +502,20 @@
         let expired = async {
             match (&request.body, deadline) {
                 (_, Some(deadline)) => sleep_until(deadline).await,
-                (Payload::Streaming(upload), None) => upload.server_timed_out().await,
+                (Payload::Streaming(upload), None) => upload.response_timed_out().await,
                 (Payload::Buffered(_), None) => std::future::pending().await,
             }
         };
         let sent_at = Instant::now();
-        tokio::select! {
+        let result = tokio::select! {
             biased;
             ended = self.send_and_receive(server, request, deadline, permit) => ended,
-            () = expired => {
-                self.close_idle_if_unresponsive(server, sent_at);
-                Outcome::Timeout.into()
-            }
+            () = expired => Outcome::Timeout.into(),
+        };
+        if result.outcome == Outcome::Timeout {
+            self.close_idle_if_unresponsive(server, sent_at);
         }
+        result
     }
 
     /// Sends a request on pooled or new connections until one of them has taken it completely, and receives the
@@ -559,6 +561,9 @@
                 Exchange::Unsent if request.client.has_disconnected() => {
                     return Outcome::NotSent.into()
                 }
+                Exchange::Unsent if connection.progress.has_stalled() => {
+                    return Outcome::Timeout.into()
+                }
                 // The server may have closed a reused connection, and one new connection may break by chance. If a
                 // second new one breaks, the attempt counts as the server's failure.
                 Exchange::Unsent if reused || !std::mem::replace(&mut reconnected, true) => {
--- a/src/bin/load-balancer/stream.rs
+++ b/src/bin/load-balancer/stream.rs
@@ -4,13 +4,14 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::client_liveness::Client;
 use crate::metrics::Metrics;
+use crate::write_stall::{is_stalled, StallGuard};
 
 /// How much of the current request on a connection has been written. A connection carries one request at a
 /// time.
@@ -25,6 +26,8 @@
     fully_written: Cell<bool>,
     /// Whether the request is a health check, which is not counted as forwarded.
     is_health_check: Cell<bool>,
+    /// Whether the connection was given up because the server has stopped reading the request.
+    stalled: Cell<bool>,
 }
 
 impl RequestProgress {
@@ -41,16 +44,22 @@
         self.body_taken.set(true);
     }
 
+    /// Whether the connection was given up because the server has stopped reading the request.
+    pub fn has_stalled(&self) -> bool {
+        self.stalled.get()
+    }
+
     /// Whether the last byte was written to the socket.
     pub fn is_fully_written(&self) -> bool {
         self.fully_written.get()
     }
 }
 
-/// A socket to a server.
+/// A socket to a server. Writing fails if the server has stopped reading the request (see [`StallGuard`]).
 pub struct UpstreamSocket {
     socket: TcpStream,
     progress: Rc<RequestProgress>,
+    stall_guard: StallGuard,
     metrics: Rc<Metrics>,
 }
 
@@ -59,30 +68,26 @@
         UpstreamSocket {
             socket,
             progress,
+            stall_guard: StallGuard::new(),
             metrics,
         }
     }
 
-    /// Writes unless the request's client has disconnected before the first byte. Nothing is awaited between
-    /// this check and the system call.
-    fn write(
-        &mut self,
-        write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
-    ) -> Poll<io::Result<usize>> {
-        if self
-            .progress
-            .client
-            .borrow()
-            .as_ref()
-            .is_some_and(Client::has_disconnected)
-        {
-            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
-        }
-        let written = write(Pin::new(&mut self.socket));
-        if matches!(written, Poll::Ready(Ok(1..))) {
+    /// Whether the request's client has disconnected before the first byte of the request was written.
+    fn client_has_left(&self) -> bool {
+        let client = self.progress.client.borrow();
+        client.as_ref().is_some_and(Client::has_disconnected)
+    }
+
+    /// Records the result of a write.
+    fn record(&self, written: &io::Result<usize>) {
+        if matches!(written, Ok(1..)) {
             self.progress.client.take();
         }
-        written
+        if is_stalled(written) {
+            self.progress.stalled.set(true);
+            self.metrics.servers_stalled.increment();
+        }
     }
 }
 
@@ -98,19 +103,31 @@
 
 impl AsyncWrite for UpstreamSocket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.write(|socket| socket.poll_write(cx, data))
+        self.poll_write_vectored(cx, &[IoSlice::new(data)])
     }
 
+    /// Writes unless the request's client has disconnected before the first byte. Nothing is awaited between this check
+    /// and the system call.
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.write(|socket| socket.poll_write_vectored(cx, data))
+        if self.client_has_left() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        let UpstreamSocket {
+            socket,
+            stall_guard,
+            ..
+        } = &mut *self;
+        let written = ready!(stall_guard.poll_write(cx, socket, data));
+        self.record(&written);
+        Poll::Ready(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/node/slow_peers.rs
+++ b/tests/node/slow_peers.rs
@@ -153,3 +153,79 @@
     assert!(start.elapsed() < TEST_TIMEOUT, "{:?}", start.elapsed());
     fixture.log.wait_for_line(&["stalled-clients 1"]);
 }
+
+/// Reads the rest of a request with this framing at the slowest rate. Returns its body.
+fn read_body_slowly(stream: TcpStream, framing: Framing) -> Option<Vec<u8>> {
+    let mut input = BufReader::new(Throttled::new(stream));
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        input.read_line(&mut line).ok()?;
+    }
+    if framing == Framing::Chunked {
+        return read_chunks(&mut input);
+    }
+    let mut body = vec![0; BODY_BYTES];
+    input.read_exact(&mut body).ok()?;
+    Some(body)
+}
+
+/// Sends a request with a long body as fast as the node takes it. Returns the status of the response.
+fn upload(mut stream: TcpStream, id: &str, framing: Framing) -> u16 {
+    let body = body();
+    let sent = if framing == Framing::Chunked {
+        let head = post("pay", id, 60_000, "Transfer-Encoding: chunked\r\n");
+        stream.write_all(&head).unwrap();
+        write_chunks(&mut stream, &body)
+    } else {
+        let length = format!("Content-Length: {BODY_BYTES}\r\n");
+        stream.write_all(&post("pay", id, 60_000, &length)).unwrap();
+        stream.write_all(&body)
+    };
+    // The response may come, and the connection end, before the body is sent.
+    drop(sent);
+    Message::read(&mut BufReader::new(stream)).map_or(0, |response| response.status())
+}
+
+// Guards against a long request that fails because its server, which reads all the time, reads slowly: the system
+// reports the server's socket as writable only once a third of its send buffer is free.
+#[test]
+fn a_server_that_reads_a_long_request_slowly_gets_all_of_it() {
+    let (fixture, connections) = node_with_scripted_server();
+    let uploads = [Framing::Length, Framing::Chunked].map(|framing| {
+        let client = fixture.connect();
+        let client = thread::spawn(move || upload(client, "1", framing));
+        let mut server = connections.recv_timeout(TEST_TIMEOUT).unwrap();
+        let server = thread::spawn(move || {
+            let body_read = read_body_slowly(server.try_clone().unwrap(), framing);
+            let _ = server.write_all(ok_response("1").as_bytes());
+            body_read
+        });
+        (framing, client, server)
+    });
+    for (framing, client, server) in uploads {
+        let received = server.join().unwrap();
+        assert!(
+            received == Some(body()),
+            "{framing:?}: the request was cut off"
+        );
+        assert_eq!(client.join().unwrap(), 200, "{framing:?}");
+    }
+}
+
+// A server that reads nothing must not hold a client's connection for ever.
+#[test]
+fn a_long_request_whose_server_reads_nothing_fails_in_bounded_time() {
+    let (fixture, connections) = node_with_scripted_server();
+    let client = fixture.connect();
+    let client = thread::spawn(move || upload(client, "1", Framing::Length));
+    let server = connections.recv_timeout(TEST_TIMEOUT).unwrap();
+    let start = Instant::now();
+    let status = client.join().unwrap();
+    assert!(status >= 500, "{status}");
+    assert!(start.elapsed() < TEST_TIMEOUT, "{:?}", start.elapsed());
+    fixture
+        .log
+        .wait_for_line(&["stalled-servers 1", "timeout 1"]);
+    drop(server);
+}
