Node: a shutdown no longer cuts off long bodies that are still under way

Cause: `Clients::drain` waited for the longest deadline and 1.2 s and then ended the process, whatever was open. A response that has begun has no deadline, nor has a request whose body is still coming. A request that was complete only after the shutdown deadline had a deadline in the past and failed at once.

Change: after the drain the node closes its listeners and its datagram socket, so that another process can start on the same addresses, and waits for the connections that are left. Each ends by itself. A client in the middle of its first head, which only the end of the process closed, is now closed after 2.5 s. A request whose head came in time has its whole timeout if it is complete over 0.5 s after the shutdown deadline. The log says how many connections are left, and how many are cut off.

Whoever moves nothing is closed in 10 s, at the most 44 s.

--- a/src/bin/load-balancer/body.rs
+++ b/src/bin/load-balancer/body.rs
@@ -162,6 +162,8 @@
     length: Option<u64>,
     /// How long the client waits for its response, counted from the last byte of the request.
     remaining_timeout: Duration,
+    /// When the head of the request was received.
+    head_received_at: Instant,
     /// Bounds `deadline` while the process shuts down.
     shutdown_deadline: Rc<ShutdownDeadline>,
     stage: Cell<Stage>,
@@ -257,6 +259,7 @@
             source: RefCell::new(source),
             length,
             remaining_timeout,
+            head_received_at: now,
             shutdown_deadline,
             stage: Cell::new(Stage::Receiving),
             deadline: Cell::new(None),
@@ -270,10 +273,11 @@
     fn end_reception(&self, stage: Stage) {
         if self.stage.get() == Stage::Receiving {
             self.stage.set(stage);
-            self.deadline.set(
-                (stage == Stage::Complete)
-                    .then(|| self.shutdown_deadline.deadline(self.remaining_timeout)),
-            );
+            let deadline = || {
+                self.shutdown_deadline
+                    .deadline(self.remaining_timeout, self.head_received_at)
+            };
+            self.deadline.set((stage == Stage::Complete).then(deadline));
             self.ended.notify_waiters();
         }
     }
--- a/src/bin/load-balancer/clients.rs
+++ b/src/bin/load-balancer/clients.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::body::{
@@ -34,6 +34,7 @@
 use crate::servers::{Servers, UpstreamRequest, UpstreamResponse};
 use crate::shutdown_deadline::ShutdownDeadline;
 use crate::task::{AbortOnDrop, Budget, Permit};
+use crate::write_stall::time_at_min_rate;
 
 /// Longest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -349,7 +350,8 @@
                     serve_while_connected(connection.as_mut(), client_left.as_mut()),
                 )
                 .await
-                .is_ok());
+                .is_ok())
+            || client_connection.is_sending_head();
         if !ended {
             // An idle connection closes at once, another one after its response.
             connection.as_mut().graceful_shutdown();
@@ -401,8 +403,14 @@
         self.pending_requests.get() - self.uploading_requests.get()
     }
 
-    /// Shuts down after SIGTERM: drains, and returns once all connections have ended or the time of the
-    /// slowest request is over.
+    /// Number of connections accepted and not ended.
+    pub fn connection_count(&self) -> usize {
+        self.connection_count.get()
+    }
+
+    /// Shuts down after SIGTERM: drains, and returns once all connections have ended or the time of the slowest request is
+    /// over. By then all accepted requests have been answered. What remains are connections on which a long body is under
+    /// way: [`Clients::finish_transfers`] waits for them.
     pub async fn drain(self: &Rc<Self>) {
         let longest = self
             .config()
@@ -417,14 +425,20 @@
         self.shutdown_deadline.start(Duration::from_micros(longest));
         self.stand_by();
         sleep(DRAIN_DELAY).await;
-        // By the longest deadline, all accepted requests have been answered; a client that sends a request
-        // very slowly must not keep the node from exiting.
-        let all_ended = async {
-            while self.connection_count.get() > 0 {
-                self.connection_ended.notified().await;
-            }
-        };
-        let _ = timeout(Duration::from_micros(longest) + DRAIN_DELAY, all_ended).await;
+        let slowest_request = Duration::from_micros(longest) + DRAIN_DELAY;
+        let _ = timeout(slowest_request, self.all_connections_ended()).await;
+    }
+
+    /// Waits for the connections that remain after [`Clients::drain`]. Each of them ends by itself: a body has no
+    /// deadline, but a side that moves nothing of it is given up. Only a response that never ends is cut off.
+    pub async fn finish_transfers(&self) {
+        let _ = timeout(longest_transfer(), self.all_connections_ended()).await;
+    }
+
+    async fn all_connections_ended(&self) {
+        while self.connection_count.get() > 0 {
+            self.connection_ended.notified().await;
+        }
     }
 
     async fn handle(
@@ -467,6 +481,7 @@
         client_connection: &Rc<ConnectionState>,
         socket: &Rc<TcpStream>,
     ) -> Result<Response<ResponseBody>, (StatusCode, &'static str)> {
+        let head_received_at = Instant::now();
         let bad = |why| (StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
         let text = |name: &str| head.headers.get(name).map(HeaderValue::to_str).transpose();
@@ -524,7 +539,10 @@
             Payload::Streaming(upload) => (Some(upload.clone()), None),
             Payload::Buffered(_) => (
                 None,
-                Some(self.shutdown_deadline.deadline(remaining_timeout)),
+                Some(
+                    self.shutdown_deadline
+                        .deadline(remaining_timeout, head_received_at),
+                ),
             ),
         };
         // A streamed request holds a server's socket for as long as its client takes to send the body.
@@ -799,6 +817,11 @@
     }
 }
 
+/// Longest time for which a body that keeps moving can be under way.
+fn longest_transfer() -> Duration {
+    time_at_min_rate(MAX_BODY_BYTES)
+}
+
 /// Polls a connection until it ends or its client disconnects during a request.
 async fn serve_while_connected(
     connection: Pin<&mut impl Future>,
--- a/src/bin/load-balancer/peers.rs
+++ b/src/bin/load-balancer/peers.rs
@@ -1,5 +1,6 @@
 //! UDP datagrams exchanged with the other nodes.
 
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +14,8 @@
 
 /// The socket for datagrams, and the addresses of the other nodes.
 pub struct Peers {
-    socket: UdpSocket,
+    /// `None` once it has been closed.
+    socket: RefCell<Option<Rc<UdpSocket>>>,
     /// The other nodes, by their index in the configuration.
     peers: Vec<SocketAddr>,
     /// The address that reaches all of them.
@@ -32,12 +34,17 @@
         broadcast: Option<SocketAddr>,
     ) -> io::Result<Rc<Self>> {
         Ok(Rc::new(Peers {
-            socket: UdpSocket::bind(listen).await?,
+            socket: RefCell::new(Some(Rc::new(UdpSocket::bind(listen).await?))),
             peers,
             broadcast,
         }))
     }
 
+    /// Closes the socket, so that another process can use its address, once no [`Peers::receive`] is waiting any more.
+    pub fn close(&self) {
+        self.socket.take();
+    }
+
     /// Sends a datagram to one node, or to all if `peer` is `None`. It is dropped if it can't be sent immediately, is
     /// too long, or has no known address.
     pub fn send(&self, peer: Option<u32>, data: &[u8]) {
@@ -45,18 +52,24 @@
             Some(peer) => self.peers.get(peer as usize).copied(),
             None => self.broadcast,
         };
-        if let Some(address) = address.filter(|_| data.len() <= MAX_DATAGRAM_BYTES) {
-            let _ = self.socket.try_send_to(data, address);
+        let socket = self.socket.borrow();
+        let address = address.filter(|_| data.len() <= MAX_DATAGRAM_BYTES);
+        if let (Some(socket), Some(address)) = (socket.as_ref(), address) {
+            let _ = socket.try_send_to(data, address);
         }
     }
 
     /// Receives the next datagram of a known node. Datagrams of other senders, and those that are too long, are
-    /// dropped.
+    /// dropped. Never returns once the socket is closed.
     pub async fn receive(&self) -> PeerDatagram {
+        let socket = self.socket.borrow().clone();
+        let Some(socket) = socket else {
+            return std::future::pending().await;
+        };
         // One byte more than accepted, to detect a datagram that is too long.
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         loop {
-            let Ok((size, sender)) = self.socket.recv_from(&mut buffer).await else {
+            let Ok((size, sender)) = socket.recv_from(&mut buffer).await else {
                 tokio::task::yield_now().await;
                 continue;
             };
--- a/src/bin/load-balancer/peers/tests.rs
+++ b/src/bin/load-balancer/peers/tests.rs
@@ -12,7 +12,7 @@
     let node = Peers::bind(any_port.parse().unwrap(), vec![peers[1]], None)
         .await
         .unwrap();
-    let destination = node.socket.local_addr().unwrap();
+    let destination = node.socket.borrow().as_ref().unwrap().local_addr().unwrap();
     unknown.send_to(b"x", destination).await.unwrap();
     known
         .send_to(&[7; MAX_DATAGRAM_BYTES + 1], destination)
--- a/src/bin/load-balancer/shutdown_deadline.rs
+++ b/src/bin/load-balancer/shutdown_deadline.rs
@@ -13,6 +13,10 @@
 /// Time reserved for responses to reach their clients, and for a SIGTERM that is handled late.
 const KILL_MARGIN: Duration = Duration::from_millis(50);
 
+/// A process that still runs this long after its shutdown deadline has been given more time than the least: SIGKILL did
+/// not come at the earliest moment, though it may have come late on a busy machine.
+const LATE_KILL_TOLERANCE: Duration = Duration::from_millis(500);
+
 /// The shutdown deadline of the process, which limits the deadline of each request.
 #[derive(Default)]
 pub struct ShutdownDeadline(Cell<Option<Instant>>);
@@ -27,10 +31,20 @@
             .set(Some(self.0.get().map_or(end, |previous| previous.min(end))));
     }
 
-    /// The time by which a request with this remaining timeout must be answered.
-    pub fn deadline(&self, remaining_timeout: Duration) -> Instant {
-        let deadline = Instant::now() + remaining_timeout;
-        self.0.get().map_or(deadline, |end| deadline.min(end))
+    /// The time by which a request with this remaining timeout must be answered, if its head was received at
+    /// `head_received_at` and its last byte now.
+    ///
+    /// A long body may be under way past the shutdown deadline. When such a request is complete it has its whole timeout:
+    /// a deadline in the past would only make it fail.
+    pub fn deadline(&self, remaining_timeout: Duration, head_received_at: Instant) -> Instant {
+        let now = Instant::now();
+        let deadline = now + remaining_timeout;
+        match self.0.get() {
+            Some(end) if now < end + LATE_KILL_TOLERANCE || head_received_at >= end => {
+                deadline.min(end)
+            }
+            _ => deadline,
+        }
     }
 }
 
--- a/src/bin/load-balancer/startup/mod.rs
+++ b/src/bin/load-balancer/startup/mod.rs
@@ -13,7 +13,8 @@
 use crate::log;
 use crate::peers::Peers;
 use crate::reload::Reloader;
-use crate::shutdown::Shutdown;
+use crate::shutdown::{PeerReceiver, Shutdown};
+use crate::task::AbortOnDrop;
 
 mod error;
 mod shared_parts;
@@ -54,9 +55,10 @@
         log_cached_list_problem(&config);
         event_loop.start(config.cached_list, cordoned);
         let clients = parts.clients(config.runtime);
-        if let Some(address) = config.admin_listen {
-            parts.start_admin_server(address, &clients).await?;
-        }
+        let admin_server = match config.admin_listen {
+            Some(address) => Some(parts.start_admin_server(address, &clients).await?),
+            None => None,
+        };
         let reloader = Reloader {
             path: config_path,
             discovery: config.discovery,
@@ -65,9 +67,10 @@
             messages: parts.messages.clone(),
         };
         spawn_local(reloader.run(hangup));
-        if let Some(peers) = sockets.peers {
-            spawn_local(receive_datagrams(peers, parts.messages));
-        }
+        let receiver = sockets.peers.map(|peers| PeerReceiver {
+            task: AbortOnDrop::spawn(receive_datagrams(peers.clone(), parts.messages)),
+            peers,
+        });
         spawn_local(event_loop.run(received));
         spawn_local(clients.clone().accept(sockets.listener));
         log::line(format_args!(
@@ -79,6 +82,8 @@
             terminate,
             listener_is_shared: sockets.listener_is_shared,
             clients,
+            admin_server,
+            receiver,
         };
         Ok(Node { shutdown })
     }
--- a/src/bin/load-balancer/startup/shared_parts.rs
+++ b/src/bin/load-balancer/startup/shared_parts.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
 
 use super::{sockets, StartError};
 use crate::admin::AdminServer;
@@ -18,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::servers::Servers;
+use crate::task::AbortOnDrop;
 
 /// Buffered bodies may take the memory limit divided by this. The rest is for the connections' own buffers and for
 /// an overlapping process of this node.
@@ -82,7 +82,7 @@
         )
     }
 
-    /// Starts to serve the operators' interface at `address`.
+    /// Starts to serve the operators' interface at `address`, until the returned task is dropped.
     ///
     /// # Errors
     ///
@@ -91,7 +91,7 @@
         &self,
         address: SocketAddr,
         clients: &Rc<Clients>,
-    ) -> Result<(), StartError> {
+    ) -> Result<AbortOnDrop, StartError> {
         let admin = Rc::new(AdminServer {
             clients: clients.clone(),
             servers: self.servers.clone(),
@@ -102,8 +102,7 @@
         let listener = sockets::bind(address).await?;
         let local_address = listener.local_addr().map_err(StartError::Listener)?;
         log::line(format_args!("operators call at {local_address}"));
-        spawn_local(admin.accept(listener));
-        Ok(())
+        Ok(AbortOnDrop::spawn(admin.accept(listener)))
     }
 }
 
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -12,6 +12,7 @@
 mod discovery;
 mod discovery_outages;
 mod endpoint_lists;
+mod long_drains;
 mod operators;
 mod requests;
 mod restart;
