Tests of long bodies: one scripted server and one way to accept its requests

The tests of slow peers and of long drains each built a node with a scripted server and read its requests in their own way. Both now use `NodeFixture::with_scripted_server` and `accept_request`. What the tests check stays; all eight passed.

--- a/tests/common/node_fixture.rs
+++ b/tests/common/node_fixture.rs
@@ -225,6 +225,19 @@
         }
     }
 
+    /// Starts a node with an admin listener and one server, whose connections the test reads and writes itself. `edit`
+    /// changes the configuration.
+    pub fn with_scripted_server(
+        edit: impl FnOnce(&mut Value),
+    ) -> (NodeFixture, Receiver<TcpStream>) {
+        let (server, connections) = scripted_listener();
+        let fixture = NodeFixture::configured(0, &ADMIN_ENV, |config| {
+            config["known"]["members"] = json!([member_at("s-scripted", server)]);
+            edit(config);
+        });
+        (fixture, connections)
+    }
+
     /// Sets the behavior of all servers.
     pub fn set_behavior(&self, behavior: Behavior) {
         self.behaviors
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -212,6 +212,15 @@
     connections
 }
 
+/// Waits for the next connection of a scripted listener and reads the first request on it.
+pub fn accept_request(connections: &Receiver<TcpStream>) -> (TcpStream, Message) {
+    let stream = connections
+        .recv_timeout(TEST_TIMEOUT)
+        .expect("no connection to the server");
+    let request = Message::read(&mut BufReader::new(stream.try_clone().unwrap()));
+    (stream, request.expect("no request"))
+}
+
 /// Returns a socket that is bound to a loopback port and does not listen yet: it reserves the port, and connections to
 /// it are refused.
 pub fn bound_socket() -> socket2::Socket {
--- a/tests/node/long_drains.rs
+++ b/tests/node/long_drains.rs
@@ -14,26 +14,26 @@
 }
 
 /// A node with short deadlines and one server, whose connections the test reads and writes itself.
-fn node_with_scripted_server() -> (NodeFixture, Receiver<TcpStream>) {
-    let (server, connections) = scripted_listener();
-    let fixture = NodeFixture::configured(0, &ADMIN_ENV, |config| {
-        config["known"]["members"] = json!([member_at("s-scripted", server)]);
+fn node_with_short_deadlines() -> (NodeFixture, Receiver<TcpStream>) {
+    NodeFixture::with_scripted_server(|config| {
         for class in config["settings"]["classes"].as_array_mut().unwrap() {
             class["deadline"] = json!(DEADLINE.as_micros() as u64);
             class["aim"] = json!(DEADLINE.as_micros() as u64);
         }
-    });
-    (fixture, connections)
-}
-
-fn accept(connections: &Receiver<TcpStream>) -> TcpStream {
-    connections
-        .recv_timeout(TEST_TIMEOUT)
-        .expect("the node made no connection to the server")
+    })
 }
 
-fn read_request(stream: &TcpStream) -> Option<Message> {
-    Message::read(&mut BufReader::new(stream.try_clone().unwrap()))
+/// Begins a long response to a request on a new connection. Returns the client's and the server's connection.
+fn begin_long_response(
+    fixture: &NodeFixture,
+    connections: &Receiver<TcpStream>,
+    framing: Framing,
+) -> (TcpStream, TcpStream) {
+    let client = fixture.send(&request("look", "1", 60_000));
+    let (mut server, _) = accept_request(connections);
+    let lines = framing_lines(framing);
+    write!(server, "HTTP/1.1 200 OK\r\n{lines}\r\n").unwrap();
+    (client, server)
 }
 
 /// Writes a body in parts, one an interval.
@@ -66,16 +66,10 @@
 // Guards against a node that ends by itself after SIGTERM and cuts off responses that servers still give.
 #[test]
 fn sigterm_lets_long_responses_finish() {
-    let (mut fixture, connections) = node_with_scripted_server();
+    let (mut fixture, connections) = node_with_short_deadlines();
     let clients = [Framing::Length, Framing::Chunked, Framing::End].map(|framing| {
-        let client = fixture.send(&request("look", "1", 60_000));
-        let mut server = accept(&connections);
-        read_request(&server).expect("no request");
-        thread::spawn(move || {
-            let lines = framing_lines(framing);
-            write!(server, "HTTP/1.1 200 OK\r\n{lines}\r\n").unwrap();
-            write_slowly(&mut server, framing)
-        });
+        let (client, mut server) = begin_long_response(&fixture, &connections, framing);
+        thread::spawn(move || write_slowly(&mut server, framing));
         // The response has begun.
         client.peek(&mut [0; 1]).unwrap();
         (framing, client)
@@ -93,7 +87,7 @@
 // that such a request has missed before it was complete.
 #[test]
 fn sigterm_lets_long_requests_finish() {
-    let (mut fixture, connections) = node_with_scripted_server();
+    let (mut fixture, connections) = node_with_short_deadlines();
     let clients = [Framing::Length, Framing::Chunked].map(|framing| {
         let mut client = fixture.connect();
         let client = thread::spawn(move || {
@@ -102,9 +96,9 @@
             let _ = write_slowly(&mut client, framing);
             Message::read(&mut BufReader::new(client)).map_or(0, |response| response.status())
         });
-        let mut server = accept(&connections);
+        let mut server = connections.recv_timeout(TEST_TIMEOUT).unwrap();
         let server = thread::spawn(move || {
-            let request = read_request(&server)?;
+            let request = Message::read(&mut BufReader::new(server.try_clone().unwrap()))?;
             server.write_all(ok_response("1").as_bytes()).ok()?;
             Some(request.body)
         });
@@ -126,13 +120,10 @@
 // middle of its body and one in the middle of a head.
 #[test]
 fn a_shutdown_does_not_wait_for_peers_that_move_nothing() {
-    let (mut fixture, connections) = node_with_scripted_server();
-    let _reader = fixture.send(&request("look", "1", 60_000));
-    let mut silent_server = accept(&connections);
-    read_request(&silent_server).expect("no request");
-    let lines = framing_lines(Framing::Length);
-    write!(silent_server, "HTTP/1.1 200 OK\r\n{lines}\r\n").unwrap();
+    let (mut fixture, connections) = node_with_short_deadlines();
+    let (_reader, mut silent_server) = begin_long_response(&fixture, &connections, Framing::Length);
     silent_server.write_all(&body()[..PART_BYTES]).unwrap();
+    let lines = framing_lines(Framing::Length);
     let mut silent_client = fixture.send(&post("pay", "2", 60_000, &lines));
     silent_client.write_all(&body()[..PART_BYTES]).unwrap();
     let _head = fixture.send(b"GET /api?key=1 HTTP/1.1\r\nHost");
@@ -146,12 +137,8 @@
 // Guards against a restart that is not ready in its time because the process before it still forwards a long body.
 #[test]
 fn another_process_starts_on_the_same_addresses_while_a_long_response_is_under_way() {
-    let (fixture, connections) = node_with_scripted_server();
-    let client = fixture.send(&request("look", "1", 60_000));
-    let mut server = accept(&connections);
-    read_request(&server).expect("no request");
-    let lines = framing_lines(Framing::Length);
-    write!(server, "HTTP/1.1 200 OK\r\n{lines}\r\n").unwrap();
+    let (fixture, connections) = node_with_short_deadlines();
+    let (client, mut server) = begin_long_response(&fixture, &connections, Framing::Length);
     server.write_all(&body()[..PART_BYTES]).unwrap();
     client.peek(&mut [0; 1]).unwrap();
     fixture.signal("-TERM");
--- a/tests/node/slow_peers.rs
+++ b/tests/node/slow_peers.rs
@@ -15,15 +15,6 @@
     (0..BODY_BYTES).map(|n| (n % 251) as u8).collect()
 }
 
-/// A node with one server, whose connections the test reads and writes itself.
-fn node_with_scripted_server() -> (NodeFixture, Receiver<TcpStream>) {
-    let (server, connections) = scripted_listener();
-    let fixture = NodeFixture::configured(0, &[], |config| {
-        config["known"]["members"] = json!([member_at("s-scripted", server)]);
-    });
-    (fixture, connections)
-}
-
 /// A stream of which at most the slowest rate is read or written at first, and then all as fast as it goes.
 struct Throttled<S> {
     stream: S,
@@ -73,15 +64,6 @@
     }
 }
 
-/// Reads the request on a server's connection. Returns its id, which ends with the framing of the response.
-fn read_request(stream: &TcpStream) -> String {
-    let mut input = BufReader::new(stream.try_clone().unwrap());
-    Message::read(&mut input)
-        .expect("no request")
-        .header("x-txn")
-        .to_owned()
-}
-
 /// Writes a response with this framing as fast as the node takes it.
 fn write_response(output: &mut impl Write, framing: Framing, body: &[u8]) -> std::io::Result<()> {
     match framing {
@@ -113,7 +95,8 @@
     thread::spawn(move || {
         for mut stream in connections {
             thread::spawn(move || {
-                let id = read_request(&stream);
+                let request = Message::read(&mut BufReader::new(stream.try_clone().unwrap()));
+                let id = request.expect("no request").header("x-txn").to_owned();
                 let framing = FRAMINGS.iter().find(|(_, name)| *name == id).unwrap().0;
                 let _ = write_response(&mut stream, framing, &body());
             });
@@ -125,7 +108,7 @@
 // reports the client's socket as writable only once a third of its send buffer is free.
 #[test]
 fn a_client_that_reads_a_long_response_slowly_gets_all_of_it() {
-    let (fixture, connections) = node_with_scripted_server();
+    let (fixture, connections) = NodeFixture::with_scripted_server(|_| {});
     serve_long_responses(connections);
     let clients = FRAMINGS.map(|(framing, id)| {
         let stream = fixture.send(&request("look", id, 60_000));
@@ -143,10 +126,9 @@
 // A client that reads nothing must not hold a server's connection for ever.
 #[test]
 fn a_client_that_reads_nothing_of_a_long_response_is_closed() {
-    let (fixture, connections) = node_with_scripted_server();
+    let (fixture, connections) = NodeFixture::with_scripted_server(|_| {});
     let _client = fixture.send(&request("look", "length", 60_000));
-    let mut server = connections.recv_timeout(TEST_TIMEOUT).unwrap();
-    read_request(&server);
+    let (mut server, _) = accept_request(&connections);
     let start = Instant::now();
     write_response(&mut server, Framing::Length, &body())
         .expect_err("the client's response was taken whole");
@@ -191,7 +173,7 @@
 // reports the server's socket as writable only once a third of its send buffer is free.
 #[test]
 fn a_server_that_reads_a_long_request_slowly_gets_all_of_it() {
-    let (fixture, connections) = node_with_scripted_server();
+    let (fixture, connections) = NodeFixture::with_scripted_server(|_| {});
     let uploads = [Framing::Length, Framing::Chunked].map(|framing| {
         let client = fixture.connect();
         let client = thread::spawn(move || upload(client, "1", framing));
@@ -216,7 +198,7 @@
 // A server that reads nothing must not hold a client's connection for ever.
 #[test]
 fn a_long_request_whose_server_reads_nothing_fails_in_bounded_time() {
-    let (fixture, connections) = node_with_scripted_server();
+    let (fixture, connections) = NodeFixture::with_scripted_server(|_| {});
     let client = fixture.connect();
     let client = thread::spawn(move || upload(client, "1", Framing::Length));
     let server = connections.recv_timeout(TEST_TIMEOUT).unwrap();
