Tests of long bodies: one framing, one body and one response for all of them

A reading of the whole change found that `write_response` of the slow peers wrote again what `respond_long` of the stand-ins does, that the header lines of a framing stood in three places and the patterned body in three, and that `Throttled` could write, which no test used. `Framing::header_lines` and `write_body`, `write_response` and `body_of` now serve all; `SlowReader` only reads. Assertions, rates and bounds stay.

--- a/tests/common/http.rs
+++ b/tests/common/http.rs
@@ -95,7 +95,12 @@
 pub const LONG_BODY_BYTES: usize = 3 << 20;
 
 pub fn long_body() -> Vec<u8> {
-    (0..LONG_BODY_BYTES).map(|n| (n % 251) as u8).collect()
+    body_of(LONG_BODY_BYTES)
+}
+
+/// Returns a body of this length, in which a missing or moved part shows.
+pub fn body_of(length: usize) -> Vec<u8> {
+    (0..length).map(|n| (n % 251) as u8).collect()
 }
 
 /// Writes a body in chunks of an uneven size, with a chunk extension and a trailer.
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -20,6 +20,45 @@
     End,
 }
 
+impl Framing {
+    /// The header lines that announce a body of this length.
+    pub fn header_lines(self, length: usize) -> String {
+        match self {
+            Framing::Length => format!("Content-Length: {length}\r\n"),
+            Framing::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
+            Framing::End => String::new(),
+        }
+    }
+
+    /// Writes a body as fast as the peer takes it.
+    pub fn write_body(self, output: &mut impl Write, body: &[u8]) -> std::io::Result<()> {
+        match self {
+            Framing::Chunked => write_chunks(output, body),
+            Framing::Length | Framing::End => output.write_all(body),
+        }
+    }
+}
+
+/// Writes the head of a response with status 200 and a body of this length.
+pub fn write_response_head(
+    output: &mut impl Write,
+    framing: Framing,
+    length: usize,
+) -> std::io::Result<()> {
+    let lines = framing.header_lines(length);
+    write!(output, "HTTP/1.1 200 OK\r\n{lines}\r\n")
+}
+
+/// Writes a response with status 200 as fast as the peer takes it.
+pub fn write_response(
+    output: &mut impl Write,
+    framing: Framing,
+    body: &[u8],
+) -> std::io::Result<()> {
+    write_response_head(output, framing, body.len())?;
+    framing.write_body(output, body)
+}
+
 /// What a server does with a request.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Behavior {
@@ -152,16 +191,7 @@
 }
 
 fn respond_long(framing: Framing, output: &mut TcpStream) -> Connection {
-    let body = long_body();
-    let _ = match framing {
-        Framing::Length => write_long_head(output).and_then(|()| output.write_all(&body)),
-        Framing::Chunked => output
-            .write_all(CHUNKED_HEAD)
-            .and_then(|()| write_chunks(output, &body)),
-        Framing::End => output
-            .write_all(b"HTTP/1.1 200 OK\r\n\r\n")
-            .and_then(|()| output.write_all(&body)),
-    };
+    let _ = write_response(output, framing, &long_body());
     match framing {
         Framing::End => Connection::Closes,
         Framing::Length | Framing::Chunked => Connection::StaysOpen,
@@ -179,18 +209,10 @@
 }
 
 fn write_first_half(output: &mut TcpStream) -> std::io::Result<()> {
-    write_long_head(output)?;
+    write_response_head(output, Framing::Length, LONG_BODY_BYTES)?;
     output.write_all(&long_body()[..LONG_BODY_BYTES / 2])
 }
 
-/// Writes a response head with a `Content-Length` of [`LONG_BODY_BYTES`].
-fn write_long_head(output: &mut TcpStream) -> std::io::Result<()> {
-    write!(
-        output,
-        "HTTP/1.1 200 OK\r\nContent-Length: {LONG_BODY_BYTES}\r\n\r\n"
-    )
-}
-
 /// Opens a listener whose connections the test reads and writes itself. Returns its address and the connections.
 pub fn scripted_listener() -> (SocketAddr, Receiver<TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/tests/node/long_drains.rs
+++ b/tests/node/long_drains.rs
@@ -4,13 +4,14 @@
 
 /// Deadline of all classes: the drain itself takes 1.2 s longer.
 const DEADLINE: Duration = Duration::from_secs(1);
-/// Far longer than the drain itself.
+/// Parts of a body that takes far longer than the drain itself.
 const PARTS: usize = 60;
 const PART_INTERVAL: Duration = Duration::from_millis(100);
 const PART_BYTES: usize = 10_000;
+const BODY_BYTES: usize = PARTS * PART_BYTES;
 
 fn body() -> Vec<u8> {
-    (0..PARTS * PART_BYTES).map(|n| (n % 251) as u8).collect()
+    body_of(BODY_BYTES)
 }
 
 /// A node with short deadlines and one server, whose connections the test reads and writes itself.
@@ -31,8 +32,7 @@
 ) -> (TcpStream, TcpStream) {
     let client = fixture.send(&request("look", "1", 60_000));
     let (mut server, _) = accept_request(connections);
-    let lines = framing_lines(framing);
-    write!(server, "HTTP/1.1 200 OK\r\n{lines}\r\n").unwrap();
+    write_response_head(&mut server, framing, BODY_BYTES).unwrap();
     (client, server)
 }
 
@@ -54,15 +54,6 @@
     Ok(())
 }
 
-/// The lines of a head that tell how long the body is.
-fn framing_lines(framing: Framing) -> String {
-    match framing {
-        Framing::Length => format!("Content-Length: {}\r\n", PARTS * PART_BYTES),
-        Framing::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
-        Framing::End => String::new(),
-    }
-}
-
 // Guards against a node that ends by itself after SIGTERM and cuts off responses that servers still give.
 #[test]
 fn sigterm_lets_long_responses_finish() {
@@ -91,7 +82,7 @@
     let clients = [Framing::Length, Framing::Chunked].map(|framing| {
         let mut client = fixture.connect();
         let client = thread::spawn(move || {
-            let head = post("pay", "1", 60_000, &framing_lines(framing));
+            let head = post("pay", "1", 60_000, &framing.header_lines(BODY_BYTES));
             client.write_all(&head).unwrap();
             let _ = write_slowly(&mut client, framing);
             Message::read(&mut BufReader::new(client)).map_or(0, |response| response.status())
@@ -123,7 +114,7 @@
     let (mut fixture, connections) = node_with_short_deadlines();
     let (_reader, mut silent_server) = begin_long_response(&fixture, &connections, Framing::Length);
     silent_server.write_all(&body()[..PART_BYTES]).unwrap();
-    let lines = framing_lines(Framing::Length);
+    let lines = Framing::Length.header_lines(BODY_BYTES);
     let mut silent_client = fixture.send(&post("pay", "2", 60_000, &lines));
     silent_client.write_all(&body()[..PART_BYTES]).unwrap();
     let _head = fixture.send(b"GET /api?key=1 HTTP/1.1\r\nHost");
--- a/tests/node/slow_peers.rs
+++ b/tests/node/slow_peers.rs
@@ -4,7 +4,7 @@
 
 /// Rate at which the slowest clients of the platform move a body, in bytes per second.
 const SLOWEST_RATE: usize = 64_000;
-/// Interval between two reads or writes of a slow peer.
+/// Interval between two reads of a slow peer.
 const PACE: Duration = Duration::from_millis(100);
 /// Longer than the node lets a peer take or give nothing.
 const SLOW_TIME: Duration = Duration::from_secs(16);
@@ -12,77 +12,45 @@
 const BODY_BYTES: usize = 16 << 20;
 
 fn body() -> Vec<u8> {
-    (0..BODY_BYTES).map(|n| (n % 251) as u8).collect()
+    body_of(BODY_BYTES)
 }
 
-/// A stream of which at most the slowest rate is read or written at first, and then all as fast as it goes.
-struct Throttled<S> {
-    stream: S,
+/// A connection that is read at the slowest rate at first, and then as fast as it goes.
+struct SlowReader {
+    stream: TcpStream,
     start: Instant,
-    moved: usize,
+    total: usize,
 }
 
-impl<S> Throttled<S> {
-    fn new(stream: S) -> Self {
-        Throttled {
+impl SlowReader {
+    fn new(stream: TcpStream) -> Self {
+        SlowReader {
             stream,
             start: Instant::now(),
-            moved: 0,
+            total: 0,
         }
     }
 
-    /// Waits for the next turn. Returns how many bytes may be moved then.
+    /// Waits for the next turn. Returns how many bytes may be read then.
     fn next_share(&self) -> usize {
         if self.start.elapsed() >= SLOW_TIME {
             return BODY_BYTES;
         }
-        let due = Duration::from_micros((self.moved * 1_000_000 / SLOWEST_RATE) as u64);
+        let due = Duration::from_micros((self.total * 1_000_000 / SLOWEST_RATE) as u64);
         thread::sleep(due.saturating_sub(self.start.elapsed()));
         SLOWEST_RATE * PACE.as_millis() as usize / 1_000
     }
 }
 
-impl<S: Read> Read for Throttled<S> {
+impl Read for SlowReader {
     fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
         let share = self.next_share().min(buffer.len());
         let read = self.stream.read(&mut buffer[..share])?;
-        self.moved += read;
+        self.total += read;
         Ok(read)
     }
 }
 
-impl<S: Write> Write for Throttled<S> {
-    fn write(&mut self, data: &[u8]) -> std::io::Result<usize> {
-        let share = self.next_share().min(data.len());
-        let written = self.stream.write(&data[..share])?;
-        self.moved += written;
-        Ok(written)
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        self.stream.flush()
-    }
-}
-
-/// Writes a response with this framing as fast as the node takes it.
-fn write_response(output: &mut impl Write, framing: Framing, body: &[u8]) -> std::io::Result<()> {
-    match framing {
-        Framing::Length => write!(
-            output,
-            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
-            body.len()
-        )?,
-        Framing::Chunked => return write_chunked_response(output, body),
-        Framing::End => output.write_all(b"HTTP/1.1 200 OK\r\n\r\n")?,
-    }
-    output.write_all(body)
-}
-
-fn write_chunked_response(output: &mut impl Write, body: &[u8]) -> std::io::Result<()> {
-    output.write_all(CHUNKED_HEAD)?;
-    write_chunks(output, body)
-}
-
 /// A framing and the id of a request for a response with it.
 const FRAMINGS: [(Framing, &str); 3] = [
     (Framing::Length, "length"),
@@ -113,7 +81,7 @@
     let clients = FRAMINGS.map(|(framing, id)| {
         let stream = fixture.send(&request("look", id, 60_000));
         thread::spawn(move || {
-            let response = Message::read(&mut BufReader::new(Throttled::new(stream)))
+            let response = Message::read(&mut BufReader::new(SlowReader::new(stream)))
                 .unwrap_or_else(|| panic!("{framing:?}: the response was cut off"));
             assert!(response.body == body(), "{framing:?}: the body was changed");
         })
@@ -138,7 +106,7 @@
 
 /// Reads the rest of a request with this framing at the slowest rate. Returns its body.
 fn read_body_slowly(stream: TcpStream, framing: Framing) -> Option<Vec<u8>> {
-    let mut input = BufReader::new(Throttled::new(stream));
+    let mut input = BufReader::new(SlowReader::new(stream));
     let mut line = String::new();
     while line != "\r\n" {
         line.clear();
@@ -154,18 +122,10 @@
 
 /// Sends a request with a long body as fast as the node takes it. Returns the status of the response.
 fn upload(mut stream: TcpStream, id: &str, framing: Framing) -> u16 {
-    let body = body();
-    let sent = if framing == Framing::Chunked {
-        let head = post("pay", id, 60_000, "Transfer-Encoding: chunked\r\n");
-        stream.write_all(&head).unwrap();
-        write_chunks(&mut stream, &body)
-    } else {
-        let length = format!("Content-Length: {BODY_BYTES}\r\n");
-        stream.write_all(&post("pay", id, 60_000, &length)).unwrap();
-        stream.write_all(&body)
-    };
+    let lines = framing.header_lines(BODY_BYTES);
+    stream.write_all(&post("pay", id, 60_000, &lines)).unwrap();
     // The response may come, and the connection end, before the body is sent.
-    drop(sent);
+    let _ = framing.write_body(&mut stream, &body());
     Message::read(&mut BufReader::new(stream)).map_or(0, |response| response.status())
 }
 
