Node: say why a request was refused, what its attempts did, and what memory is held

Change: each request that was not served gets a log line with its number, X-Txn, ending, and the server, outcome and time of each attempt; such lines have a limit of their own (five a second), so that they can't crowd out the node's. svc_refused_by_node_total names the reason of a refusal that the node makes without the balancer, in the log line too. svc_memory_bytes and svc_body_memory_bytes show the resident memory and what of it is reserved for bodies.

The recorded metric names stay as they were and in front; the added ones have a fixture of their own, and the test of names now compares both, whole. The count of samples in metrics/tests.rs grows by the added ones.

--- a/src/bin/load-balancer/admin/mod.rs
+++ b/src/bin/load-balancer/admin/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::clients::Clients;
 use crate::event_loop::{CordonResult, CountAvoidedServers, Message, SetCordon};
-use crate::metrics::{Gauges, Metrics};
+use crate::metrics::{resident_bytes, Gauges, Metrics};
 use crate::servers::Servers;
 use crate::task::{AbortOnDrop, Budget};
 
@@ -206,6 +206,8 @@
             listed_servers: self.servers.listed_count(),
             endpoint_digest: self.servers.endpoint_digest(),
             avoided_servers,
+            resident_bytes: resident_bytes(),
+            body_bytes: self.servers.body_memory().used() as u64,
         };
         let mut response = response(StatusCode::OK, self.metrics.prometheus_text(gauges));
         let content_type = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
--- a/src/bin/load-balancer/body.rs
+++ b/src/bin/load-balancer/body.rs
@@ -36,11 +36,20 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The memory that is left for buffered bodies of all requests and responses, in bytes.
-pub struct BodyMemory(Cell<usize>);
+pub struct BodyMemory {
+    total: usize,
+    left: Cell<usize>,
+}
 
 impl BodyMemory {
-    pub fn new(bytes: usize) -> Rc<Self> {
-        Rc::new(BodyMemory(Cell::new(bytes)))
+    pub fn new(total: usize) -> Rc<Self> {
+        let left = Cell::new(total);
+        Rc::new(BodyMemory { total, left })
+    }
+
+    /// The memory that is reserved now, in bytes.
+    pub fn used(&self) -> usize {
+        self.total - self.left.get()
     }
 }
 
@@ -53,9 +62,9 @@
 impl MemoryReservation {
     /// Reserves `bytes` more; returns `false`, and reserves nothing, if fewer are left.
     fn grow(&mut self, bytes: usize) -> bool {
-        let left = self.memory.0.get().checked_sub(bytes);
+        let left = self.memory.left.get().checked_sub(bytes);
         if let Some(left) = left {
-            self.memory.0.set(left);
+            self.memory.left.set(left);
             self.bytes += bytes;
         }
         left.is_some()
@@ -64,7 +73,7 @@
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        self.memory.0.set(self.memory.0.get() + self.bytes);
+        self.memory.left.set(self.memory.left.get() + self.bytes);
     }
 }
 
--- a/src/bin/load-balancer/body/tests.rs
+++ b/src/bin/load-balancer/body/tests.rs
@@ -12,9 +12,9 @@
     assert!(!second.add(part(40)), "over the shared limit");
     drop(second);
     let body = first.complete();
-    assert_eq!((body.bytes.len(), memory.0.get()), (70, 30));
+    assert_eq!((body.bytes.len(), memory.left.get()), (70, 30));
     drop(body);
-    assert_eq!(memory.0.get(), 100);
+    assert_eq!(memory.left.get(), 100);
     let memory = BodyMemory::new(10 * MAX_BUFFERED_BYTES);
     let mut long = PartialBody::new(&memory);
     assert!(
--- a/src/bin/load-balancer/clients.rs
+++ b/src/bin/load-balancer/clients.rs
@@ -30,7 +30,7 @@
 use crate::connection::{ClientSocket, ConnectionState, FIRST_REQUEST_TIMEOUT};
 use crate::descriptors::Descriptors;
 use crate::event_loop::{ClientResponse, Message, RequestArrived, RequestComplete, RequestNumber};
-use crate::metrics::{Metrics, RequestOutcome};
+use crate::metrics::{Metrics, Refusal, RequestOutcome};
 use crate::servers::{Servers, UpstreamRequest, UpstreamResponse};
 use crate::shutdown_deadline::ShutdownDeadline;
 use crate::task::{AbortOnDrop, Budget, Permit};
@@ -292,11 +292,8 @@
                 (clients.clone(), connection_state.clone(), socket.clone());
             async move {
                 let mut response = if reject {
-                    if let Some(class) = clients.class_of(request.headers()) {
-                        clients
-                            .metrics
-                            .request_ended(class, RequestOutcome::Rejected);
-                    }
+                    let class = clients.class_of(request.headers());
+                    clients.metrics.refused(class, Refusal::NoConnection);
                     clients.rejection(Some(OVERLOAD_RETRY_AFTER))
                 } else {
                     clients.handle(request, &client_connection, &socket).await
@@ -547,10 +544,15 @@
         };
         // A streamed request holds a server's socket for as long as its client takes to send the body.
         let upload_permit = upload.as_ref().map(|_| self.uploads.take());
-        if self.pending_requests.get() >= config.node.max_open_requests
-            || matches!(upload_permit, Some(None))
-        {
-            self.metrics.request_ended(class, RequestOutcome::Rejected);
+        let refusal = if self.pending_requests.get() >= config.node.max_open_requests {
+            Some(Refusal::TooManyRequests)
+        } else if matches!(upload_permit, Some(None)) {
+            Some(Refusal::TooManyUploads)
+        } else {
+            None
+        };
+        if let Some(reason) = refusal {
+            self.metrics.refused(Some(class), reason);
             upload
                 .into_iter()
                 .for_each(|upload| drop(spawn_local(upload.discard())));
--- a/src/bin/load-balancer/event_loop/mod.rs
+++ b/src/bin/load-balancer/event_loop/mod.rs
@@ -22,6 +22,7 @@
 mod clock;
 mod cordons;
 mod messages;
+mod request_log;
 mod request_table;
 mod requests;
 mod timers;
--- /dev/null
+++ b/src/bin/load-balancer/event_loop/request_log.rs
@@ -0,0 +1,86 @@
+//! The log line of a request that was not served: its id, how it ended, and what became of its attempts.
+
+use std::fmt;
+use std::time::Duration;
+
+use load_balancer::{Outcome, ServerId};
+use tokio::time::Instant;
+
+use super::messages::ClientResponse;
+use super::request_table::PendingRequest;
+use super::RequestNumber;
+use crate::metrics::outcome_name;
+use crate::servers::Servers;
+
+/// An attempt that has ended without a response for the client.
+pub struct FailedAttempt {
+    /// The server that the attempt was sent to.
+    pub server: ServerId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time from the attempt's start to its end.
+    pub elapsed: Duration,
+}
+
+/// Logs how a request ended, unless it was served.
+pub fn log_unserved(
+    number: RequestNumber,
+    request: &PendingRequest,
+    response: &ClientResponse,
+    servers: &Servers,
+) {
+    let Some(ending) = ending_of(response) else {
+        return;
+    };
+    let id = request.upstream.headers.get("x-txn");
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("without id");
+    let elapsed = request.arrived_at.elapsed().as_secs_f64();
+    let attempts = AttemptList { request, servers };
+    let body = if request.deadline.is_none() {
+        ", body pending"
+    } else {
+        ""
+    };
+    crate::log::request_line(format_args!(
+        "request {} ({id}) {ending} after {elapsed:.3} s{body}; attempts: {attempts}",
+        number.0
+    ));
+}
+
+fn ending_of(response: &ClientResponse) -> Option<&'static str> {
+    match response {
+        ClientResponse::Served(_) => None,
+        ClientResponse::Rejected { .. } => Some("refused"),
+        ClientResponse::Failed => Some("failed"),
+        ClientResponse::DeadlineExceeded => Some("had no answer by its deadline"),
+    }
+}
+
+/// The attempts of a request, as text: those that failed, then those in flight.
+struct AttemptList<'a> {
+    request: &'a PendingRequest,
+    servers: &'a Servers,
+}
+
+impl fmt::Display for AttemptList<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.request.attempts.is_empty() {
+            return f.write_str("none");
+        }
+        let mut separator = "";
+        for attempt in &self.request.failed_attempts {
+            let server = self.servers.id_of(attempt.server);
+            let (outcome, elapsed) = (outcome_name(attempt.outcome), attempt.elapsed.as_secs_f64());
+            write!(f, "{separator}{server} {outcome} after {elapsed:.3} s")?;
+            separator = ", ";
+        }
+        let now = Instant::now();
+        for attempt in self.request.attempts.iter().flatten() {
+            let server = self.servers.id_of(attempt.server);
+            let elapsed = (now - attempt.sent_at).as_secs_f64();
+            write!(f, "{separator}{server} in flight for {elapsed:.3} s")?;
+            separator = ", ";
+        }
+        Ok(())
+    }
+}
--- a/src/bin/load-balancer/event_loop/request_table.rs
+++ b/src/bin/load-balancer/event_loop/request_table.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::messages::{ClientResponse, RequestNumber};
+use super::request_log::FailedAttempt;
 use super::timers::TimerKey;
 use crate::servers::UpstreamRequest;
 use crate::task::AbortOnDrop;
@@ -35,6 +36,8 @@
 
 /// A request that is not answered yet or still has attempts in flight.
 pub struct PendingRequest {
+    /// When the event loop learned of the request.
+    pub arrived_at: Instant,
     /// Receives the response; `None` once it was sent or the client has disconnected.
     pub reply: Option<oneshot::Sender<ClientResponse>>,
     /// The request that is sent to servers.
@@ -46,6 +49,8 @@
     pub deadline_backstop: Option<TimerKey>,
     /// All attempts by index; `None` for those that have ended or were not sent.
     pub attempts: Vec<Option<InFlightAttempt>>,
+    /// The attempts that have ended without a response for the client, for the log.
+    pub failed_attempts: Vec<FailedAttempt>,
 }
 
 impl PendingRequest {
@@ -118,6 +123,13 @@
             .take()
     }
 
+    /// Records an attempt that has ended without a response for the client.
+    pub fn record_failed_attempt(&mut self, number: RequestNumber, attempt: FailedAttempt) {
+        if let Some(request) = self.requests.get_mut(&number) {
+            request.failed_attempts.push(attempt);
+        }
+    }
+
     /// Removes the request if it is answered and no attempt is in flight.
     pub fn remove_if_finished(&mut self, number: RequestNumber) {
         if self
--- a/src/bin/load-balancer/event_loop/requests.rs
+++ b/src/bin/load-balancer/event_loop/requests.rs
@@ -10,6 +10,7 @@
 use super::messages::{
     AttemptEnded, ClientResponse, HealthCheckEnded, RequestArrived, RequestComplete, RequestNumber,
 };
+use super::request_log::{log_unserved, FailedAttempt};
 use super::request_table::PendingRequest;
 use super::timers::{Timer, TimerKey, Timers};
 use super::EventLoop;
@@ -39,11 +40,13 @@
         let deadline_backstop =
             deadline.map(|deadline| set_deadline_backstop(&mut self.timers, number, deadline));
         let pending = PendingRequest {
+            arrived_at: Instant::now(),
             reply: Some(reply),
             upstream,
             deadline,
             deadline_backstop,
             attempts: Vec::new(),
+            failed_attempts: Vec::new(),
         };
         self.requests.insert(number, pending);
         self.events.push_back(Event::Request(Request {
@@ -91,7 +94,7 @@
             "the balancer did not answer request {} by its deadline; the node answers that it was exceeded",
             number.0
         ));
-        let _ = reply.send(ClientResponse::DeadlineExceeded);
+        self.send_response(number, reply, ClientResponse::DeadlineExceeded);
         self.events
             .push_back(Event::RequestAbandoned(number.to_id()));
     }
@@ -108,11 +111,24 @@
     /// Responds to a request, unless it was answered before or its client has disconnected.
     pub(super) fn respond(&mut self, number: RequestNumber, response: ClientResponse) {
         if let Some(reply) = self.take_reply(number) {
-            let _ = reply.send(response);
+            self.send_response(number, reply, response);
         }
         self.requests.remove_if_finished(number);
     }
 
+    /// Sends the final response of a request, and logs one that is not served.
+    fn send_response(
+        &mut self,
+        number: RequestNumber,
+        reply: oneshot::Sender<ClientResponse>,
+        response: ClientResponse,
+    ) {
+        if let Some(request) = self.requests.get_mut(number) {
+            log_unserved(number, request, &response, &self.servers);
+        }
+        let _ = reply.send(response);
+    }
+
     /// Takes the sender for a request's response and cancels the deadline backstop. `None` if the request was
     /// answered before or its client has disconnected.
     fn take_reply(&mut self, number: RequestNumber) -> Option<oneshot::Sender<ClientResponse>> {
@@ -140,6 +156,15 @@
             load_report,
             response,
         } = result;
+        let elapsed = ended.sent_at.elapsed();
+        if response.is_none() {
+            let failed = FailedAttempt {
+                server: ended.server,
+                outcome,
+                elapsed,
+            };
+            self.requests.record_failed_attempt(number, failed);
+        }
         // Precedes the event, whose `request_ended` tells the balancer that no further attempt is needed.
         if let Some(response) = response {
             self.respond(number, ClientResponse::Served(response));
@@ -149,7 +174,7 @@
             attempt,
             server: ended.server,
             outcome,
-            elapsed: ended.sent_at.elapsed().as_micros() as Micros,
+            elapsed: elapsed.as_micros() as Micros,
             request_ended: self.requests.is_answered(number),
             load_report,
         }));
--- a/src/bin/load-balancer/log.rs
+++ b/src/bin/load-balancer/log.rs
@@ -1,51 +1,81 @@
 //! The log: lines on standard error, limited per second.
+//!
+//! Lines about single requests have a limit of their own, so that many of them can't crowd out the lines about the node.
 
 use std::fmt::Arguments;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-/// Most lines per window of one second; further ones are dropped and counted.
-const MAX_LINES_PER_SECOND: u32 = 20;
 /// Length of the window in which lines are counted.
 const WINDOW_LENGTH: Duration = Duration::from_secs(1);
 
-/// The current window.
-struct Window {
+/// Lines about the node.
+static NODE_LINES: Mutex<LineLimit> = Mutex::new(LineLimit::new("log lines", 20));
+/// Lines about requests that were not served.
+static REQUEST_LINES: Mutex<LineLimit> = Mutex::new(LineLimit::new("lines about requests", 5));
+
+/// Counts the lines of one kind in the current window.
+struct LineLimit {
+    /// What the lines are, for the line that says how many were dropped.
+    kind: &'static str,
+    /// Most lines per window; further ones are dropped and counted.
+    max_lines: u32,
     /// When the window began; `None` before the first line.
     started_at: Option<Instant>,
     /// Number of lines in the window, including dropped ones.
     lines: u32,
 }
 
-static WINDOW: Mutex<Window> = Mutex::new(Window {
-    started_at: None,
-    lines: 0,
-});
+impl LineLimit {
+    const fn new(kind: &'static str, max_lines: u32) -> LineLimit {
+        LineLimit {
+            kind,
+            max_lines,
+            started_at: None,
+            lines: 0,
+        }
+    }
+
+    /// Counts a line and returns whether it is within the limit. Begins a new window when the current one is over.
+    fn admit(&mut self) -> bool {
+        let now = Instant::now();
+        let is_over = |started_at| now - started_at >= WINDOW_LENGTH;
+        if self.started_at.is_none_or(is_over) {
+            self.report_dropped();
+            self.started_at = Some(now);
+            self.lines = 0;
+        }
+        self.lines += 1;
+        self.lines <= self.max_lines
+    }
+
+    fn report_dropped(&self) {
+        let LineLimit {
+            kind, max_lines, ..
+        } = self;
+        let dropped = self.lines.saturating_sub(*max_lines);
+        if dropped > 0 {
+            eprintln!("{dropped} {kind} dropped, over the limit of {max_lines} per second");
+        }
+    }
+}
 
-/// Writes a line, or drops it if the limit is reached, so that an error that repeats with every request does not
-/// slow the node down.
+/// Writes a line about the node, or drops it if the limit is reached, so that an error that repeats with every request
+/// does not slow the node down.
 pub fn line(text: Arguments<'_>) {
-    let Ok(mut window) = WINDOW.lock() else {
+    write_within(&NODE_LINES, text);
+}
+
+/// Writes a line about a request, or drops it if the limit of such lines is reached.
+pub fn request_line(text: Arguments<'_>) {
+    write_within(&REQUEST_LINES, text);
+}
+
+fn write_within(limit: &Mutex<LineLimit>, text: Arguments<'_>) {
+    let Ok(mut limit) = limit.lock() else {
         return;
     };
-    let now = Instant::now();
-    if window
-        .started_at
-        .is_none_or(|started_at| now - started_at >= WINDOW_LENGTH)
-    {
-        if window.lines > MAX_LINES_PER_SECOND {
-            eprintln!(
-                "{} log lines dropped, over the limit of {MAX_LINES_PER_SECOND} per second",
-                window.lines - MAX_LINES_PER_SECOND
-            );
-        }
-        *window = Window {
-            started_at: Some(now),
-            lines: 0,
-        };
-    }
-    window.lines += 1;
-    if window.lines <= MAX_LINES_PER_SECOND {
+    if limit.admit() {
         eprintln!("{text}");
     }
 }
--- a/src/bin/load-balancer/metrics/export.rs
+++ b/src/bin/load-balancer/metrics/export.rs
@@ -4,7 +4,7 @@
 
 use std::fmt::Write;
 
-use super::{Gauges, Metrics, RequestOutcome, OUTCOME_NAMES};
+use super::{Gauges, Metrics, Refusal, RequestOutcome, OUTCOME_NAMES};
 
 /// A metric without labels: its name after `svc_`, its help text and its value.
 struct Sample {
@@ -56,6 +56,8 @@
         let mut counters = self.request_counters();
         let first_attempt_counter = counters.len();
         counters.extend(self.attempt_counters());
+        let first_refusal_counter = counters.len();
+        counters.extend(self.refusal_counters());
         let values = counters.iter().map(|counter| counter.value).collect();
         let previous = self.last_logged.replace(values);
         let mut line = String::new();
@@ -63,6 +65,9 @@
             if index == first_attempt_counter {
                 line.push_str("attempts: ");
             }
+            if index == first_refusal_counter {
+                line.push_str("refused by the node: ");
+            }
             let increment = value - previous.get(index).unwrap_or(&0);
             let _ = write!(line, "{name} {increment} ");
         }
@@ -78,6 +83,13 @@
             .map(|(name, counter)| LoggedCounter::new(name, counter.get()))
     }
 
+    /// The counters of requests that the node refused itself, by reason.
+    fn refusal_counters(&self) -> impl Iterator<Item = LoggedCounter> + '_ {
+        Refusal::ALL
+            .iter()
+            .map(|reason| LoggedCounter::new(reason.name(), self.refusals[reason.index()].get()))
+    }
+
     /// The connection and request counters, in the order of the log line.
     fn request_counters(&self) -> Vec<LoggedCounter> {
         let classes = self.distinct_classes();
@@ -115,6 +127,10 @@
         for sample in gauge_samples(gauges) {
             write_sample(&mut text, &sample, "gauge");
         }
+        self.write_refusal_counters(&mut text);
+        for sample in memory_samples(gauges) {
+            write_sample(&mut text, &sample, "gauge");
+        }
         text
     }
 
@@ -130,6 +146,23 @@
         }
     }
 
+    fn write_refusal_counters(&self, text: &mut String) {
+        let name = "refused_by_node_total";
+        write_header(
+            text,
+            name,
+            "Requests refused by the node itself.",
+            "counter",
+        );
+        for counter in self.refusal_counters() {
+            let LoggedCounter {
+                name: reason,
+                value,
+            } = counter;
+            let _ = writeln!(text, "svc_{name}{{reason=\"{reason}\"}} {value}");
+        }
+    }
+
     fn counter_samples(&self) -> [Sample; 3] {
         [
             Sample {
@@ -176,6 +209,21 @@
     ]
 }
 
+fn memory_samples(gauges: Gauges) -> [Sample; 2] {
+    [
+        Sample {
+            name: "memory_bytes",
+            help: "Resident memory of the process.",
+            value: gauges.resident_bytes,
+        },
+        Sample {
+            name: "body_memory_bytes",
+            help: "Memory reserved for bodies.",
+            value: gauges.body_bytes,
+        },
+    ]
+}
+
 fn write_sample(text: &mut String, sample: &Sample, kind: &str) {
     write_header(text, sample.name, sample.help, kind);
     let _ = writeln!(text, "svc_{} {}", sample.name, sample.value);
--- /dev/null
+++ b/src/bin/load-balancer/metrics/memory.rs
@@ -0,0 +1,21 @@
+//! The memory that the process holds.
+
+use std::fs;
+
+/// Bytes of a kilobyte in `/proc/self/status`.
+const BYTES_PER_KILOBYTE: u64 = 1024;
+
+/// Resident memory of this process in bytes; 0 if the system does not tell.
+pub fn resident_bytes() -> u64 {
+    fs::read_to_string("/proc/self/status")
+        .ok()
+        .and_then(|status| resident_kilobytes(&status))
+        .map_or(0, |kilobytes| kilobytes * BYTES_PER_KILOBYTE)
+}
+
+fn resident_kilobytes(status: &str) -> Option<u64> {
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
--- a/src/bin/load-balancer/metrics/mod.rs
+++ b/src/bin/load-balancer/metrics/mod.rs
@@ -9,6 +9,11 @@
 use load_balancer::Outcome;
 
 mod export;
+mod memory;
+mod refusal;
+
+pub use memory::resident_bytes;
+pub use refusal::Refusal;
 
 /// Interval between two log lines with the counters' increments.
 pub const LOG_INTERVAL: Duration = Duration::from_secs(10);
@@ -102,6 +107,8 @@
     pub reloads_rejected: Counter,
     /// Ended requests, by class index. Classes with the same name share one entry.
     classes: RefCell<Vec<Rc<ClassCounters>>>,
+    /// Requests that the node refused itself, by reason.
+    refusals: [Counter; Refusal::ALL.len()],
     /// Ended attempts, indexed by [`outcome_index`].
     attempts: [Counter; OUTCOME_NAMES.len()],
     /// The counters' values at the last log line.
@@ -119,6 +126,10 @@
     pub endpoint_digest: u64,
     /// Listed servers that the balancer sends no requests: draining, cordoned, ejected or in a lost zone.
     pub avoided_servers: usize,
+    /// Resident memory of the process, in bytes; 0 if it can't be read.
+    pub resident_bytes: u64,
+    /// Memory that is reserved for bodies, in bytes.
+    pub body_bytes: u64,
 }
 
 impl Metrics {
@@ -165,12 +176,25 @@
         }
     }
 
+    /// Counts a request that the node refused itself. Its class, if it is known, counts it too.
+    pub fn refused(&self, class: Option<usize>, reason: Refusal) {
+        self.refusals[reason.index()].increment();
+        if let Some(class) = class {
+            self.request_ended(class, RequestOutcome::Rejected);
+        }
+    }
+
     /// Counts the end of an attempt.
     pub fn attempt_ended(&self, outcome: Outcome) {
         self.attempts[outcome_index(outcome)].increment();
     }
 }
 
+/// The name of an outcome in the log.
+pub fn outcome_name(outcome: Outcome) -> &'static str {
+    OUTCOME_NAMES[outcome_index(outcome)]
+}
+
 fn outcome_index(outcome: Outcome) -> usize {
     match outcome {
         Outcome::Ok => 0,
--- a/src/bin/load-balancer/metrics/tests.rs
+++ b/src/bin/load-balancer/metrics/tests.rs
@@ -35,6 +35,8 @@
         listed_servers: 3,
         endpoint_digest: 5,
         avoided_servers: 1,
+        resident_bytes: 4096,
+        body_bytes: 512,
     });
     for line in [
         "# TYPE svc_succeeded_total counter",
@@ -48,12 +50,16 @@
         "svc_discovered 3",
         "svc_discovered_digest 5",
         "svc_ejected 1",
+        "svc_refused_by_node_total{reason=\"no-connection\"} 0",
+        "svc_memory_bytes 4096",
+        "svc_body_memory_bytes 512",
     ] {
         assert!(text.lines().any(|found| found == line), "{line} in {text}");
     }
     let samples = text.lines().filter(|line| !line.starts_with('#'));
     assert!(
-        samples.clone().count() == 13 && samples.clone().all(|l| l.starts_with("svc_")),
+        samples.clone().count() == 15 + Refusal::ALL.len()
+            && samples.clone().all(|l| l.starts_with("svc_")),
         "{text}"
     );
 }
--- a/src/bin/load-balancer/servers.rs
+++ b/src/bin/load-balancer/servers.rs
@@ -309,6 +309,12 @@
         server
     }
 
+    /// The id of a server, for the log; its number in hexadecimal if it is not listed any more.
+    pub fn id_of(&self, server: ServerId) -> String {
+        let id = self.ids.borrow().get(&server.0).cloned();
+        id.unwrap_or_else(|| format!("{:x}", server.0))
+    }
+
     /// The memory for buffered bodies, of requests and responses alike.
     pub fn body_memory(&self) -> &Rc<BodyMemory> {
         &self.memory
--- a/tests/compat/bytes.rs
+++ b/tests/compat/bytes.rs
@@ -9,6 +9,8 @@
 const EXPECTED_MESSAGES: &str = include_str!("fixtures/wire.txt");
 /// The recorded metric names.
 const EXPECTED_METRIC_NAMES: &str = include_str!("fixtures/metrics.txt");
+/// The metrics that were added since, which follow the recorded ones.
+const ADDED_METRIC_NAMES: &str = include_str!("fixtures/added-metrics.txt");
 const BODY: &str = "hello";
 
 fn request(method: &str, lines: &[&str], body: &str) -> String {
@@ -171,5 +173,6 @@
 /// Guards against a renamed metric or label: dashboards and the agents read them.
 #[test]
 fn metric_names_match_the_recorded_ones() {
-    assert_eq!(metric_names(), EXPECTED_METRIC_NAMES);
+    let expected = [EXPECTED_METRIC_NAMES, ADDED_METRIC_NAMES].concat();
+    assert_eq!(metric_names(), expected);
 }
