--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -12,12 +12,18 @@
 mod discovery;
 mod discovery_outages;
 mod endpoint_lists;
+mod floods;
+mod late_bodies;
 mod long_drains;
+mod memory_limit;
 mod operators;
+mod repeated_ids;
 mod requests;
 mod restart;
 mod server_connections;
 mod slow_peers;
+mod unread_requests;
+mod upload_deadlines;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
