Node: a long response whose body begins late is passed on, not cut off by its attempt

Cause: a response of more than 64 KiB, or of unknown length, was handed on with its first bytes only, and until then the attempt could time out, after four times its class's mean. So the time a sound server takes between head and body counted as one without an answer.

Change: such a response is passed on 50 ms after its head, or just before its attempt would time out, with what has come until then. From there on the existing rule for bodies under way holds (10 s without a byte). Short responses of known length may still be retried, as before. What it costs: a server that resets the connection between a head without length and its first byte, more than 50 ms later, can't be replaced any more; the client sees a broken response.

--- a/src/bin/load-balancer/body/response.rs
+++ b/src/bin/load-balancer/body/response.rs
@@ -17,7 +17,8 @@
 use crate::metrics::RequestOutcome;
 use crate::write_stall::STALL_TIMEOUT;
 
-/// A response of unknown length is held back for this long, to see whether it is short.
+/// A response of unknown length is held back for this long, to see whether it is short, and a long one until its first
+/// bytes have come. Its head is passed on then, as the first bytes of a long response are the ones that are timed.
 const BUFFERING_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// The body of a server's response before any of it is passed on.
@@ -29,18 +30,21 @@
 }
 
 /// Receives a short body of a response whole, so that nothing of a response that breaks reaches the client. Of a
-/// longer or slower body, receives only the first bytes. `None` if the response broke before that.
+/// longer or slower body, receives only the first bytes, or none where they don't come by `pass_on_by` or within
+/// [`BUFFERING_TIMEOUT`]. `None` if the response broke before that.
 pub async fn receive_response_body(
     mut body: Incoming,
     memory: &Rc<BodyMemory>,
+    pass_on_by: Option<Instant>,
 ) -> Option<ReceivedBody> {
     let length = body.size_hint().exact();
     let is_long = length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64);
     let is_short = length.is_some() && !is_long;
     let mut received = BodyQueue::new(memory);
     let buffer_until = Instant::now() + BUFFERING_TIMEOUT;
+    let buffer_until = pass_on_by.map_or(buffer_until, |by| by.min(buffer_until));
     loop {
-        let frame = if is_short || received.is_empty() {
+        let frame = if is_short {
             body.frame().await
         } else {
             match timeout_at(buffer_until, body.frame()).await {
--- a/src/bin/load-balancer/servers.rs
+++ b/src/bin/load-balancer/servers.rs
@@ -40,6 +40,8 @@
 /// request on the wire.
 const REUSE_DELAY: Duration = Duration::from_millis(30);
 
+/// A long response is passed on this long before its attempt would time out.
+const PASS_ON_MARGIN: Duration = Duration::from_millis(2);
 /// Most ids of listed servers that are remembered after the servers have left the list.
 const MAX_REMEMBERED_IDS: usize = 1 << 16;
 
@@ -756,7 +758,9 @@
         Err(_) => return Exchange::Broken,
     };
     let (head, body) = response.into_parts();
-    match receive_response_body(body, memory).await {
+    // The timeout of the attempt ends where its response begins: from here on the server is only slow.
+    let pass_on_by = deadline.map(|deadline| deadline - PASS_ON_MARGIN);
+    match receive_response_body(body, memory, pass_on_by).await {
         Some(body) => Exchange::Response(head.status, head.headers, body),
         // The response broke off before the request was completely written: the server can't have run it.
         None if !connection.progress.is_fully_written() => Exchange::Unsent,
