Node: a request is read ahead of a slow server, so that its time runs from its last byte

Cause: the node read a part of the body only when the server's connection could take it. The client had written its last byte and counted its time, while that byte waited in a socket's buffer; the node's time for the request began when it had read it. A server that reads nothing was given up after 10 s only.

Evidence: 186,290 bytes in chunks with a server that stops after 8,249: 502 after 10.8 s, due after 0.8 s; 948,890 bytes read at 111,866 bytes a second: 502 after 7.4 s. With a server whose system takes all that the node writes, both are answered in time, which excludes the deadline itself.

In one turn 32 parts are taken at the most.

--- a/src/bin/load-balancer/body/mod.rs
+++ b/src/bin/load-balancer/body/mod.rs
@@ -1,5 +1,6 @@
-//! Bodies of requests and responses: short ones are buffered, longer ones are streamed. A part is read from
-//! one side only when the other side can take it (backpressure).
+//! Bodies of requests and responses: short ones are buffered, longer ones are streamed. A response is read from its server
+//! only as far as its client takes it (backpressure). A request is read ahead of its server as far as memory allows, as
+//! its time runs from its last byte.
 
 use std::fmt;
 
--- a/src/bin/load-balancer/body/queue.rs
+++ b/src/bin/load-balancer/body/queue.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Number of bytes in the queue.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
     pub fn is_empty(&self) -> bool {
         self.length == 0
     }
--- a/src/bin/load-balancer/body/upload.rs
+++ b/src/bin/load-balancer/body/upload.rs
@@ -1,4 +1,8 @@
 //! A request's body on its way from its client.
+//!
+//! The client counts its time from the last byte that it sends, and the node from the last byte that it reads. So the
+//! node reads on while the server doesn't take the body, as far as memory allows. Otherwise the end of the body would wait
+//! in the socket's buffer, and the answer would come long after its time.
 
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
@@ -25,6 +29,8 @@
 /// After an early response, the rest of the request's body is read and discarded for up to this long, so that
 /// the client reads the response.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Most bytes of a body that are received ahead of its server.
+const MAX_AHEAD_BYTES: usize = 2 << 20;
 /// Most parts that are received in one turn, so that a body of many small parts doesn't keep other tasks waiting.
 const MAX_PARTS_PER_TURN: u32 = 32;
 
@@ -185,7 +191,7 @@
         }
     }
 
-    /// Receives the body until its end, as fast as the server takes it; returns when the request must be
+    /// Receives the body until its end, ahead of the server as far as memory allows; returns when the request must be
     /// answered.
     pub async fn receive(&self) -> Result<Instant, BodyError> {
         loop {
@@ -198,10 +204,11 @@
         }
     }
 
-    /// Whether another part may be received: all others have been passed on.
+    /// Whether another part may be received. One that finds no memory is received all the same when all others have been
+    /// passed on, as the body would not move otherwise.
     fn may_receive_more(&self) -> bool {
         let received = self.received.borrow();
-        received.is_empty()
+        received.is_empty() || (received.is_reserved() && received.len() < MAX_AHEAD_BYTES)
     }
 
     /// Receives the next part from the client and updates the stage.
