Balancer: an attempt has at least a fiftieth of its class's objective

Cause: an attempt that a retry can follow times out after four times its class's mean. A flood of fast answers brings the mean to 0.3 ms, so that attempts have 1 ms. Others, which need a new connection, time out while they connect; that counts as a server that can't be reached, the servers are ejected, and what follows is rejected without an attempt.

Evidence, from the new log lines: 'request 5347 (f4432) refused after 0.004 s; attempts: s-3 timeout after 0.001 s, s-0 timeout after 0.002 s', 'request 5354 (p56) refused after 0.003 s; attempts: s-0 unconnected after 0.002 s', then 'attempts: none' for seconds. Requests that are not retried, at the same rate: none refused.

An attempt that was not sent is in the log line too.

--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -25,6 +25,9 @@
 const MAX_SAVED_RETRIES: f64 = 20.0;
 /// An attempt that can be followed by a retry times out after this multiple of its class's mean answer time.
 const TIMEOUT_FACTOR: f64 = 4.0;
+/// Least timeout of an attempt, as a fraction of its class's latency objective. Where answers come within a
+/// fraction of a millisecond, their mean says nothing about how long a node or a server may be held up.
+const MIN_TIMEOUT_FRACTION: f64 = 0.02;
 /// The last part of the deduplication time, one part in this many, is reserved for a retry's way to the
 /// server: no retry is sent in it.
 const TTL_MARGIN_DIVISOR: Micros = 10;
@@ -129,18 +132,20 @@
     now: Micros,
 ) -> Micros {
     let left = request.deadline.saturating_sub(now).max(1);
+    let class = &settings.classes[request.class.0];
     let is_last = request.attempts.len() + 1 >= settings.max_attempts as usize;
     // A retry is either not allowed, or must stay in a cell, where it would overload the few servers next to
     // a slow one.
     let few_alternatives = matches!(
-        settings.classes[request.class.0].idempotency,
+        class.idempotency,
         Idempotency::NonIdempotent
             | Idempotency::IdempotencyKey {
                 scope: DedupScope::Cell,
                 ..
             }
     );
-    let timeout = (TIMEOUT_FACTOR * mean) as Micros;
+    let min_timeout = MIN_TIMEOUT_FRACTION * class.latency_objective as f64;
+    let timeout = (TIMEOUT_FACTOR * mean).max(min_timeout) as Micros;
     // A retry that is left too little time to be answered would only waste work.
     let no_time_for_retry = timeout * 2 > left;
     if is_last || few_alternatives || request.body_pending || no_time_for_retry {
--- a/src/balancer/retry/tests.rs
+++ b/src/balancer/retry/tests.rs
@@ -124,6 +124,17 @@
     assert_eq!(timeout, 2 * SECOND);
 }
 
+// Guards against attempts of a millisecond after a flood of fast answers: others' attempts timed out while
+// they connected, their servers were ejected, and their requests rejected with nearly all of their time left.
+#[test]
+fn fast_answers_do_not_shorten_the_timeout_below_a_share_of_the_objective() {
+    let settings = settings(Idempotency::Idempotent);
+    let request = request(&settings, AttemptState::NeverRan);
+    let mean = 300.0;
+    let timeout = attempt_timeout(&settings, &request, mean, 0);
+    assert_eq!(timeout, SECOND / 50);
+}
+
 #[test]
 fn the_budget_allows_one_retry_per_five_requests() {
     let mut budget = RetryBudget::default();
--- a/src/bin/load-balancer/event_loop/actions.rs
+++ b/src/bin/load-balancer/event_loop/actions.rs
@@ -86,7 +86,7 @@
 
     /// Reports the outcome `NotSent` for an attempt that may no longer be sent.
     fn skip_attempt(&mut self, number: RequestNumber, server: ServerId) {
-        let attempt = self.requests.add_unsent_attempt(number);
+        let attempt = self.requests.add_unsent_attempt(number, server);
         self.events.push_back(Event::AttemptEnded(AttemptResult {
             id: number.to_id(),
             attempt,
--- a/src/bin/load-balancer/event_loop/request_table.rs
+++ b/src/bin/load-balancer/event_loop/request_table.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use load_balancer::{Micros, ServerId};
+use load_balancer::{Micros, Outcome, ServerId};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -104,13 +104,18 @@
             .is_none_or(|request| request.reply.is_none())
     }
 
-    /// Records an attempt that is not sent and returns its index; 0 if the request is not pending.
-    pub fn add_unsent_attempt(&mut self, number: RequestNumber) -> u32 {
+    /// Records an attempt that is not sent to this server and returns its index; 0 if the request is not pending.
+    pub fn add_unsent_attempt(&mut self, number: RequestNumber, server: ServerId) -> u32 {
         let Some(request) = self.requests.get_mut(&number) else {
             return 0;
         };
         let attempt = request.attempts.len() as u32;
         request.attempts.push(None);
+        request.failed_attempts.push(FailedAttempt {
+            server,
+            outcome: Outcome::NotSent,
+            elapsed: Duration::ZERO,
+        });
         attempt
     }
 
