Node: a request that was read together with an earlier one waits for other tasks

Cause: the HTTP library goes from one request in its buffer to the next, some hundred in a turn of that connection's task, while each answer to another client needs several turns of the loop.

Change: a request that needed no read from the socket lets the other tasks run first. One that came by itself doesn't wait.

--- a/src/bin/load-balancer/clients.rs
+++ b/src/bin/load-balancer/clients.rs
@@ -291,6 +291,7 @@
             let (clients, client_connection, socket) =
                 (clients.clone(), connection_state.clone(), socket.clone());
             async move {
+                client_connection.take_turn().await;
                 let mut response = if reject {
                     let class = clients.class_of(request.headers());
                     clients.metrics.refused(class, Refusal::NoConnection);
--- a/src/bin/load-balancer/connection.rs
+++ b/src/bin/load-balancer/connection.rs
@@ -12,6 +12,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
 
 use crate::metrics::Metrics;
@@ -37,6 +38,8 @@
     response_sent: Cell<bool>,
     /// Since when no request has been pending; `None` while one is.
     idle_since: Cell<Option<Instant>>,
+    /// Whether anything was read from the socket since the last request.
+    has_read: Cell<bool>,
     /// The head that is being received, or was received last.
     head: RefCell<Head>,
     /// Whether a response broke after its first bytes were sent: the connection is reset, so that the client
@@ -54,6 +57,7 @@
             request_received: Cell::new(false),
             response_sent: Cell::new(false),
             idle_since: Cell::new(Some(now)),
+            has_read: Cell::new(false),
             head: RefCell::default(),
             response_broken: Cell::new(false),
             close_requested: Notify::new(),
@@ -85,6 +89,14 @@
         .await;
     }
 
+    /// Lets other tasks run before a request that was read together with an earlier one. A client that sends many at
+    /// once would keep others waiting: the HTTP library goes from one to the next.
+    pub async fn take_turn(&self) {
+        if !self.has_read.replace(false) {
+            yield_now().await;
+        }
+    }
+
     /// The pending request has been answered.
     pub fn request_answered(&self) {
         self.response_sent.set(true);
@@ -220,6 +232,7 @@
         let before = buffer.filled().len();
         ready!(socket_read::poll_read(&self.socket, cx, buffer))?;
         let received = &buffer.filled()[before..];
+        self.client_connection.has_read.set(true);
         self.client_connection.head.borrow_mut().scan(received);
         Poll::Ready(Ok(()))
     }
