Node: nothing is sent for a client whose end may be behind unread requests

Cause: the system delivers the end of a connection after all bytes before it. Behind more bytes than the socket's buffer holds it is not delivered at all, so the node's question before each attempt, whether the client has closed its side, was answered no.

Evidence: unread_requests, two attempts over 0.1 s after the close, by a retry and by the next request. A plain socket pair here holds 81,768 bytes in writes of 200; where everything fits, the end is seen (disconnects).

Change: before an attempt the node also asks whether bytes are unread. Where 60 KiB or more are, the attempt is not sent and the request refused, or failed if it may have run. A client that waits for its response sends nothing behind it; 300 requests at once (54 KB) are still served. The unread bytes of a body under way don't count.

--- a/src/bin/load-balancer/clients.rs
+++ b/src/bin/load-balancer/clients.rs
@@ -574,7 +574,7 @@
         remove_hop_by_hop_headers(&mut headers);
         let id = self.next_number();
         let (reply, response_receiver) = oneshot::channel();
-        let client_liveness = ClientLiveness::new(socket);
+        let client_liveness = ClientLiveness::new(socket, upload.is_some());
         let arrived = RequestArrived {
             number: RequestNumber(id),
             class: ClassId(class),
--- a/src/bin/load-balancer/servers/tests.rs
+++ b/src/bin/load-balancer/servers/tests.rs
@@ -432,7 +432,7 @@
             let accepted = client_listener.accept().unwrap().0;
             accepted.set_nonblocking(true).unwrap();
             let socket = Rc::new(TcpStream::from_std(accepted).unwrap());
-            let client_liveness = ClientLiveness::new(&socket);
+            let client_liveness = ClientLiveness::new(&socket, false);
             let client_request = || UpstreamRequest {
                 client: client_liveness.view(),
                 ..request()
