Soak: random plays of a process until SIGKILL, checked from outside

Change: tests/node/soak.rs. Checked: the process doesn't end by itself, memory within 32 MB, every request that reached a server has its answer within half a second of its time, no non-idempotent id runs twice, half of the requests are served where there is no crowd.

--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -22,6 +22,7 @@
 mod restart;
 mod server_connections;
 mod slow_peers;
+mod soak;
 mod unread_requests;
 mod upload_deadlines;
 
--- a/tests/node/memory_limit.rs
+++ b/tests/node/memory_limit.rs
@@ -7,9 +7,9 @@
 use super::*;
 
 /// The least memory limit that the platform sets, in megabytes.
-const MEMORY_LIMIT_MB: u64 = 32;
+pub(super) const MEMORY_LIMIT_MB: u64 = 32;
 /// Descriptors of the process, the most that the platform allows.
-const SOCKETS: u64 = 1_024;
+pub(super) const SOCKETS: u64 = 1_024;
 /// Clients that are connected at once.
 const CLIENTS: usize = 600;
 /// Servers of the node.
@@ -23,7 +23,7 @@
 
 /// What a client of the crowd sends and how it reads.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum CrowdClient {
+pub(super) enum CrowdClient {
     /// A short body in pieces of 20 bytes.
     SmallPieces,
     /// A body in chunks of one byte.
@@ -38,7 +38,7 @@
     SlowReader,
 }
 
-const KINDS: [CrowdClient; 6] = [
+pub(super) const KINDS: [CrowdClient; 6] = [
     CrowdClient::SmallPieces,
     CrowdClient::OneByteChunks,
     CrowdClient::HalfOfLongBody,
@@ -122,7 +122,7 @@
 }
 
 /// Keeps a crowd of these kinds connected for [`CROWD_TIME`].
-fn run_crowd(addr: SocketAddr, kinds: &[CrowdClient]) {
+pub(super) fn run_crowd(addr: SocketAddr, kinds: &[CrowdClient]) {
     let start = Instant::now();
     let kinds = kinds.iter().cycle().take(CLIENTS).enumerate();
     let mut members: Vec<Member> = kinds
@@ -136,14 +136,14 @@
 
 /// Watches the memory of a process. Peaks are those of the memory that the process has written; the pages of the
 /// program's file, which a build for tests has many more of, are left out.
-struct MemoryWatch {
+pub(super) struct MemoryWatch {
     stop: Arc<AtomicBool>,
     peak_kb: Arc<AtomicU64>,
     watcher: Option<thread::JoinHandle<()>>,
 }
 
 impl MemoryWatch {
-    fn start(pid: u32) -> MemoryWatch {
+    pub(super) fn start(pid: u32) -> MemoryWatch {
         let (stop, peak_kb) = (
             Arc::new(AtomicBool::new(false)),
             Arc::new(AtomicU64::new(0)),
@@ -162,7 +162,7 @@
         }
     }
 
-    fn peak_kb(mut self) -> u64 {
+    pub(super) fn peak_kb(mut self) -> u64 {
         self.stop.store(true, Ordering::Relaxed);
         self.watcher.take().unwrap().join().unwrap();
         self.peak_kb.load(Ordering::Relaxed)
