--- a/tests/node/floods.rs
+++ b/tests/node/floods.rs
@@ -88,7 +88,12 @@
     let slowest = answers.iter().map(|(_, latency)| *latency).max().unwrap();
     let added_kb = peak_memory_kb(&fixture.node).saturating_sub(memory_before);
     let total = answers.len();
-    assert_eq!(unserved, 0, "{what}: of {total}; slowest {slowest:?}");
+    assert_eq!(
+        unserved,
+        0,
+        "{what}: of {total}; slowest {slowest:?}; {:#?}",
+        fixture.log.lines()
+    );
     assert!(slowest <= OBJECTIVE, "{what}: {slowest:?}, {total} answers");
     assert!(added_kb <= MAX_ADDED_MEMORY_KB, "{what}: {added_kb} kB");
 }
