Node: a body that was received whole is never ended short for a client that left

What a server saw: a non-idempotent request in chunks, cut off and ended as a whole one, so that it runs with a part of its body.

Cause: the end of a request emptied the queue of its body also where the body had been received whole. The server's connection takes a complete body with an empty queue for one that is fully taken, and writes the last chunk.

Evidence: the new test fails without the change where attempts may not be cancelled; where they may, the cancellation usually comes first.

Change: an abandoned body is emptied, and fails, only while it is still being received.

--- a/src/bin/load-balancer/body/upload.rs
+++ b/src/bin/load-balancer/body/upload.rs
@@ -243,8 +243,12 @@
         }
     }
 
-    /// The client has left, or the request has its response: the rest of the body is not passed on.
+    /// The client has left, or the request has its response: the rest of the body is not passed on. A body that was
+    /// received whole stays as it is: without its rest it would end at the server as a shorter one.
     pub fn abandon(&self) {
+        if self.is_complete() {
+            return;
+        }
         self.end_reception(Stage::Failed(BodyError::Broken));
         self.received.borrow_mut().clear();
         self.wake_server();
--- a/tests/node/upload_deadlines.rs
+++ b/tests/node/upload_deadlines.rs
@@ -94,3 +94,30 @@
 fn a_request_that_its_server_reads_too_slowly_is_answered_in_its_time() {
     assert_answered_in_time(|_| SLOW_RATE / 20, SLOWLY_READ_BODY);
 }
+
+// Guards against a request that is cut off and ends as a whole one: its client left after the node had received all of it.
+#[test]
+fn a_request_whose_client_leaves_while_its_server_reads_is_whole_or_broken() {
+    for cancelling in [false, true] {
+        let (addr, connections) = listener_with_small_buffers();
+        let fixture = NodeFixture::configured(0, &[], |config| {
+            config["settings"]["bounds"]["cancelling"] = json!(cancelling);
+            config["known"]["members"] = json!([member_at("s-slow", addr)]);
+        });
+        let mut client = fixture.connect();
+        let lines = Framing::Chunked.header_lines(STUCK_BODY);
+        client
+            .write_all(&post("pay", "left", 60_000, &lines))
+            .unwrap();
+        Framing::Chunked
+            .write_body(&mut client, &body_of(STUCK_BODY))
+            .unwrap();
+        let server = connections.recv_timeout(TEST_TIMEOUT).unwrap();
+        thread::sleep(Duration::from_millis(300));
+        drop(client);
+        thread::sleep(Duration::from_millis(300));
+        let received = Message::read(&mut BufReader::new(server));
+        let is_whole = |request: Message| request.body == body_of(STUCK_BODY);
+        assert!(received.is_none_or(is_whole), "cut off, {cancelling}");
+    }
+}
