Node: log memory, why connections closed, and requests whose clients left

A second line every 10 s holds resident memory, its peak, the memory of bodies and the reasons for which connections closed (also svc_closed_connections_total); a request whose client left and one that the node answered with a 4xx have a line each; a line about a long body says how much of it had been received and not passed on.

--- a/src/bin/load-balancer/body/upload.rs
+++ b/src/bin/load-balancer/body/upload.rs
@@ -307,6 +307,18 @@
         self.stage.get() == Stage::Complete
     }
 
+    /// Number of bytes received from the client; 0 while the client's task is receiving some.
+    pub fn received_bytes(&self) -> u64 {
+        self.source
+            .try_borrow()
+            .map_or(0, |source| source.received_bytes)
+    }
+
+    /// Number of bytes received and not passed to a server.
+    pub fn held_bytes(&self) -> usize {
+        self.received.borrow().len()
+    }
+
     /// Whether a part has been passed to a server.
     pub fn is_partly_sent(&self) -> bool {
         self.partly_sent.get()
--- a/src/bin/load-balancer/clients.rs
+++ b/src/bin/load-balancer/clients.rs
@@ -29,7 +29,7 @@
 use crate::connection::{ClientSocket, ConnectionState, FIRST_REQUEST_TIMEOUT};
 use crate::descriptors::Descriptors;
 use crate::event_loop::{ClientResponse, Message, RequestArrived, RequestComplete, RequestNumber};
-use crate::metrics::{Metrics, Refusal, RequestOutcome};
+use crate::metrics::{CloseReason, Metrics, Refusal, RequestOutcome};
 use crate::servers::{Servers, UpstreamRequest, UpstreamResponse};
 use crate::shutdown_deadline::ShutdownDeadline;
 use crate::task::{AbortOnDrop, Budget, Permit};
@@ -338,15 +338,18 @@
             );
         let mut connection = std::pin::pin!(connection);
         let mut client_left = std::pin::pin!(client_connection.client_closed(&stream));
-        let ended = tokio::select! {
-            () = serve_while_connected(connection.as_mut(), client_left.as_mut()) => true,
+        let (ended, reason) = tokio::select! {
+            reason = serve_while_connected(connection.as_mut(), client_left.as_mut()) => (true, reason),
             () = client_connection.first_request_timed_out() => {
                 self.metrics.head_timeouts.increment();
-                true
+                (true, CloseReason::HeadTimeout)
             }
-            () = client_connection.close_requested.notified() => !client_connection.has_sent_request(),
-            () = self.close_idle.notified(), if !only_one_request => false,
+            () = client_connection.close_requested.notified() => {
+                (!client_connection.has_sent_request(), CloseReason::Evicted)
+            }
+            () = self.close_idle.notified(), if !only_one_request => (false, CloseReason::Draining),
         };
+        self.metrics.connection_closed(reason);
         // A request whose head has begun to arrive is still served; its response closes the connection.
         let head_in_progress = !ended && client_connection.is_sending_head();
         let ended = ended
@@ -458,6 +461,7 @@
             self.metrics.requests_malformed.increment();
             return text_response(StatusCode::BAD_REQUEST, "two framings\n");
         }
+        let id = request.headers().get("x-txn").cloned();
         match request.uri().path() {
             "/-/ready" if [Method::GET, Method::HEAD].contains(request.method()) => {
                 let ready = self.is_ready();
@@ -475,6 +479,12 @@
                 .await
                 .unwrap_or_else(|(status, why)| {
                     self.metrics.requests_malformed.increment();
+                    let id = id.as_ref().and_then(|id| id.to_str().ok());
+                    crate::log::request_line(format_args!(
+                        "request ({}) answered {status} by the node: {}",
+                        id.unwrap_or("without id"),
+                        why.trim_end()
+                    ));
                     text_response(status, why)
                 }),
             _ => text_response(StatusCode::NOT_FOUND, "no such path\n"),
@@ -748,12 +758,16 @@
 
 /// Polls a connection until it ends or its client disconnects during a request.
 async fn serve_while_connected(
-    connection: Pin<&mut impl Future>,
+    connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
     client_left: Pin<&mut impl Future>,
-) {
+) -> CloseReason {
     tokio::select! {
         biased;
-        _ = connection => {}
-        _ = client_left => {}
+        served = connection => match served {
+            Ok(()) => CloseReason::Finished,
+            Err(error) if error.is_timeout() => CloseReason::HeadTimeout,
+            Err(_) => CloseReason::Broken,
+        },
+        _ = client_left => CloseReason::ClientLeft,
     }
 }
--- a/src/bin/load-balancer/event_loop/mod.rs
+++ b/src/bin/load-balancer/event_loop/mod.rs
@@ -13,7 +13,7 @@
 use crate::config::Config;
 use crate::cordon::CordonedServers;
 use crate::discovery::endpoint_list::EndpointList;
-use crate::metrics::{Metrics, LOG_INTERVAL};
+use crate::metrics::{peak_resident_bytes, resident_bytes, Metrics, LOG_INTERVAL};
 use crate::peers::Peers;
 use crate::run_once::RunOnce;
 use crate::servers::{Servers, IDLE_CHECK_INTERVAL};
@@ -190,6 +190,13 @@
     fn log_metrics(&mut self) {
         let line = self.metrics.log_line();
         crate::log::line(format_args!("{line}; {}", self.balancer.load_summary()));
+        crate::log::line(format_args!(
+            "memory: resident {} kB, peak {} kB, bodies {} kB; {}",
+            resident_bytes() / 1024,
+            peak_resident_bytes() / 1024,
+            self.servers.body_memory().used() / 1024,
+            self.metrics.closed_connections_line(),
+        ));
         self.timers.set_after(LOG_INTERVAL, Timer::LogMetrics);
     }
 
--- a/src/bin/load-balancer/event_loop/request_log.rs
+++ b/src/bin/load-balancer/event_loop/request_log.rs
@@ -9,6 +9,7 @@
 use super::messages::ClientResponse;
 use super::request_table::PendingRequest;
 use super::RequestNumber;
+use crate::body::Payload;
 use crate::metrics::outcome_name;
 use crate::servers::Servers;
 
@@ -29,18 +30,22 @@
     response: &ClientResponse,
     servers: &Servers,
 ) {
-    let Some(ending) = ending_of(response) else {
-        return;
-    };
+    if let Some(ending) = ending_of(response) {
+        log_ending(number, request, ending, servers);
+    }
+}
+
+/// Logs a request whose client left before it was answered.
+pub fn log_abandoned(number: RequestNumber, request: &PendingRequest, servers: &Servers) {
+    log_ending(number, request, "left by its client", servers);
+}
+
+fn log_ending(number: RequestNumber, request: &PendingRequest, ending: &str, servers: &Servers) {
     let id = request.upstream.headers.get("x-txn");
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("without id");
     let elapsed = request.arrived_at.elapsed().as_secs_f64();
     let attempts = AttemptList { request, servers };
-    let body = if request.deadline.is_none() {
-        ", body pending"
-    } else {
-        ""
-    };
+    let body = BodyProgress(request);
     crate::log::request_line(format_args!(
         "request {} ({id}) {ending} after {elapsed:.3} s{body}; attempts: {attempts}",
         number.0
@@ -57,6 +62,27 @@
     }
 }
 
+/// What of a body that is passed on while it arrives has arrived and not been passed on, as text.
+struct BodyProgress<'a>(&'a PendingRequest);
+
+impl fmt::Display for BodyProgress<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Payload::Streaming(upload) = &self.0.upstream.body else {
+            return Ok(());
+        };
+        let state = if self.0.deadline.is_none() {
+            "pending"
+        } else {
+            "complete"
+        };
+        let (received, held) = (upload.received_bytes(), upload.held_bytes());
+        write!(
+            f,
+            ", body {state}, {received} bytes received, {held} of them not passed on"
+        )
+    }
+}
+
 /// The attempts of a request, as text: those that failed, then those in flight.
 struct AttemptList<'a> {
     request: &'a PendingRequest,
--- a/src/bin/load-balancer/event_loop/requests.rs
+++ b/src/bin/load-balancer/event_loop/requests.rs
@@ -10,7 +10,7 @@
 use super::messages::{
     AttemptEnded, ClientResponse, HealthCheckEnded, RequestArrived, RequestComplete, RequestNumber,
 };
-use super::request_log::{log_unserved, FailedAttempt};
+use super::request_log::{log_abandoned, log_unserved, FailedAttempt};
 use super::request_table::PendingRequest;
 use super::timers::{Timer, TimerKey, Timers};
 use super::EventLoop;
@@ -144,6 +144,9 @@
         if self.take_reply(number).is_none() {
             return;
         }
+        if let Some(request) = self.requests.get_mut(number) {
+            log_abandoned(number, request, &self.servers);
+        }
         self.events
             .push_back(Event::RequestAbandoned(number.to_id()));
         self.remove_if_finished(number);
--- a/src/bin/load-balancer/metrics/export.rs
+++ b/src/bin/load-balancer/metrics/export.rs
@@ -4,7 +4,7 @@
 
 use std::fmt::Write;
 
-use super::{Gauges, Metrics, Refusal, RequestOutcome, OUTCOME_NAMES};
+use super::{CloseReason, Gauges, Metrics, Refusal, RequestOutcome, OUTCOME_NAMES};
 
 /// A metric without labels: its name after `svc_`, its help text and its value.
 struct Sample {
@@ -75,6 +75,18 @@
         line
     }
 
+    /// The client connections that ended since the last call, by reason.
+    pub fn closed_connections_line(&self) -> String {
+        let mut last_logged = self.last_logged_closed.borrow_mut();
+        let mut line = "connections closed:".to_owned();
+        for (index, reason) in CloseReason::ALL.iter().enumerate() {
+            let value = self.closed_connections[index].get();
+            let increment = value - std::mem::replace(&mut last_logged[index], value);
+            let _ = write!(line, " {} {increment}", reason.name());
+        }
+        line
+    }
+
     /// The counters of ended attempts by outcome, in the order of the log line.
     fn attempt_counters(&self) -> impl Iterator<Item = LoggedCounter> + '_ {
         OUTCOME_NAMES
@@ -131,6 +143,7 @@
         for sample in memory_samples(gauges) {
             write_sample(&mut text, &sample, "gauge");
         }
+        self.write_closed_connections(&mut text);
         text
     }
 
@@ -163,6 +176,15 @@
         }
     }
 
+    fn write_closed_connections(&self, text: &mut String) {
+        let name = "closed_connections_total";
+        write_header(text, name, "Client connections ended.", "counter");
+        for reason in CloseReason::ALL {
+            let (label, value) = (reason.name(), self.closed_connections[reason.index()].get());
+            let _ = writeln!(text, "svc_{name}{{reason=\"{label}\"}} {value}");
+        }
+    }
+
     fn counter_samples(&self) -> [Sample; 3] {
         [
             Sample {
--- a/src/bin/load-balancer/metrics/mod.rs
+++ b/src/bin/load-balancer/metrics/mod.rs
@@ -8,11 +8,13 @@
 
 use load_balancer::Outcome;
 
+mod close_reason;
 mod export;
 mod memory;
 mod refusal;
 
-pub use memory::resident_bytes;
+pub use close_reason::CloseReason;
+pub use memory::{peak_resident_bytes, resident_bytes};
 pub use refusal::Refusal;
 
 /// Interval between two log lines with the counters' increments.
@@ -109,10 +111,14 @@
     classes: RefCell<Vec<Rc<ClassCounters>>>,
     /// Requests that the node refused itself, by reason.
     refusals: [Counter; Refusal::ALL.len()],
+    /// Ended client connections, by reason.
+    closed_connections: [Counter; CloseReason::ALL.len()],
     /// Ended attempts, indexed by [`outcome_index`].
     attempts: [Counter; OUTCOME_NAMES.len()],
     /// The counters' values at the last log line.
     last_logged: RefCell<Vec<u64>>,
+    /// The values of `closed_connections` at the last line about connections.
+    last_logged_closed: RefCell<[u64; CloseReason::ALL.len()]>,
 }
 
 /// Values that are read from their owners when the metrics are exported.
@@ -184,6 +190,11 @@
         }
     }
 
+    /// Counts the end of a client's connection.
+    pub fn connection_closed(&self, reason: CloseReason) {
+        self.closed_connections[reason.index()].increment();
+    }
+
     /// Counts the end of an attempt.
     pub fn attempt_ended(&self, outcome: Outcome) {
         self.attempts[outcome_index(outcome)].increment();
--- a/src/bin/load-balancer/metrics/tests.rs
+++ b/src/bin/load-balancer/metrics/tests.rs
@@ -58,7 +58,7 @@
     }
     let samples = text.lines().filter(|line| !line.starts_with('#'));
     assert!(
-        samples.clone().count() == 15 + Refusal::ALL.len()
+        samples.clone().count() == 15 + Refusal::ALL.len() + CloseReason::ALL.len()
             && samples.clone().all(|l| l.starts_with("svc_")),
         "{text}"
     );
