--- a/tests/common/node_fixture.rs
+++ b/tests/common/node_fixture.rs
@@ -60,9 +60,16 @@
     }
 }
 
+/// The program that the tests start as a node: the one that was built with them, or the one that `NODE_UNDER_TEST` names,
+/// such as that of the release build.
+fn node_program() -> String {
+    let built = env!("CARGO_BIN_EXE_load-balancer");
+    std::env::var("NODE_UNDER_TEST").unwrap_or_else(|_| built.to_owned())
+}
+
 /// Returns a command that runs the node with this configuration and no other environment variable.
 pub fn node_command(config: &Path) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_load-balancer"));
+    let mut command = Command::new(node_program());
     command
         .env_clear()
         .env("BALANCER_CONFIG", config)
@@ -109,7 +116,7 @@
         ""
     };
     let script = format!("ulimit -n {sockets}; {redirect}exec \"$0\"");
-    command.args(["-c", &script, env!("CARGO_BIN_EXE_load-balancer")]);
+    command.args(["-c", &script, &node_program()]);
     if let Some(listener) = listener {
         command.stdin(OwnedFd::from(listener.try_clone().unwrap()));
     }
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -257,6 +257,20 @@
     socket.local_addr().unwrap().as_socket().unwrap()
 }
 
+/// Receive buffer of a server whose system keeps little that the server has not read, in bytes.
+const SMALL_RECEIVE_BUFFER: usize = 4_096;
+/// Segment size of such a server, in bytes: the sender's system too keeps little for small segments.
+const SMALL_SEGMENT: u32 = 536;
+
+/// Starts a listener whose connections keep little that is not read.
+pub fn listener_with_small_buffers() -> (SocketAddr, Receiver<TcpStream>) {
+    let socket = bound_socket();
+    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
+    socket.set_tcp_mss(SMALL_SEGMENT).unwrap();
+    socket.listen(1_024).unwrap();
+    (address_of(&socket), connections(socket.into()))
+}
+
 /// A listener whose backlog is full: new connections to it stay pending until `open`.
 pub struct FullBacklog {
     pub addr: SocketAddr,
--- a/tests/node/memory_limit.rs
+++ b/tests/node/memory_limit.rs
@@ -1,141 +1,21 @@
-//! The memory of a process with the least limits of the platform, beside hundreds of clients that send or read slowly.
+//! The memory of a process with the limits of the platform, beside hundreds of clients that send or read slowly.
+//!
+//! `MEMORY_SWEEP=1` plays the whole sweep; a run of all tests plays a part of it.
 
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use socket2::{Domain, SockAddr, Socket, Type};
-
+use super::crowd::{start_server, Crowd, CrowdClient, AFTER_CROWD, KINDS};
 use super::*;
 
 /// The least memory limit that the platform sets, in megabytes.
 pub(super) const MEMORY_LIMIT_MB: u64 = 32;
 /// Descriptors of the process, the most that the platform allows.
 pub(super) const SOCKETS: u64 = 1_024;
-/// Clients that are connected at once.
-const CLIENTS: usize = 600;
 /// Servers of the node.
 const SERVERS: usize = 6;
-/// How long the clients go on: the node ends clients that send no complete request 2.5 s after they have connected.
-const CROWD_TIME: Duration = Duration::from_secs(5);
-/// Interval between two rounds in which each client writes and reads a little.
-const ROUND: Duration = Duration::from_millis(4);
-/// Receive buffer of a client that reads slowly, in bytes.
-const SMALL_RECEIVE_BUFFER: usize = 4_096;
-
-/// What a client of the crowd sends and how it reads.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum CrowdClient {
-    /// A short body in pieces of 20 bytes.
-    SmallPieces,
-    /// A body in chunks of one byte.
-    OneByteChunks,
-    /// Half of a long body, and then nothing.
-    HalfOfLongBody,
-    /// A head of many short fields, and the beginning of a long body.
-    ManyFields,
-    /// A long head that never ends.
-    EndlessHead,
-    /// Nothing of a long response, beyond its first bytes.
-    SlowReader,
-}
-
-pub(super) const KINDS: [CrowdClient; 6] = [
-    CrowdClient::SmallPieces,
-    CrowdClient::OneByteChunks,
-    CrowdClient::HalfOfLongBody,
-    CrowdClient::ManyFields,
-    CrowdClient::EndlessHead,
-    CrowdClient::SlowReader,
-];
-
-impl CrowdClient {
-    /// What the client writes at once.
-    fn beginning(self, id: &str) -> Vec<u8> {
-        let with_lines = |lines: &str| post("pay", id, 60_000, lines);
-        match self {
-            CrowdClient::SmallPieces => with_lines("Content-Length: 60000\r\n"),
-            CrowdClient::OneByteChunks => {
-                let chunks = b"1\r\nx\r\n".repeat(12_000);
-                [with_lines("Transfer-Encoding: chunked\r\n"), chunks].concat()
-            }
-            CrowdClient::HalfOfLongBody => {
-                let half = vec![b'x'; 500_000];
-                [with_lines("Content-Length: 1000000\r\n"), half].concat()
-            }
-            CrowdClient::ManyFields => {
-                let fields: String = (0..56).map(|n| format!("a{n}: b\r\n")).collect();
-                let head = with_lines(&format!("Content-Length: 100000\r\n{fields}"));
-                [head, b"xxxxx".to_vec()].concat()
-            }
-            CrowdClient::EndlessHead => {
-                let head = with_lines("");
-                let filler = vec![b'b'; 15_000];
-                [&head[..head.len() - 2], b"a: ", &filler].concat()
-            }
-            CrowdClient::SlowReader => request("look", id, 60_000),
-        }
-    }
-
-    /// What the client writes in each round after that.
-    fn piece(self) -> &'static [u8] {
-        match self {
-            CrowdClient::SmallPieces => &[b'x'; 20],
-            _ => b"",
-        }
-    }
-}
-
-/// Opens a connection with a small receive buffer that doesn't block.
-fn connect_nonblocking(addr: SocketAddr) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
-    socket.set_tcp_nodelay(true).unwrap();
-    socket.connect(&SockAddr::from(addr)).unwrap();
-    socket.set_nonblocking(true).unwrap();
-    TcpStream::from(socket)
-}
-
-/// A client of the crowd and what it has still to write.
-struct Member {
-    kind: CrowdClient,
-    stream: TcpStream,
-    unwritten: Vec<u8>,
-}
-
-impl Member {
-    fn new(addr: SocketAddr, kind: CrowdClient, number: usize) -> Member {
-        Member {
-            kind,
-            stream: connect_nonblocking(addr),
-            unwritten: kind.beginning(&format!("crowd-{number}")),
-        }
-    }
 
-    /// Writes what the connection takes now.
-    fn write_more(&mut self) {
-        if self.unwritten.is_empty() {
-            self.unwritten.extend_from_slice(self.kind.piece());
-        }
-        if let Ok(written) = self.stream.write(&self.unwritten) {
-            self.unwritten.drain(..written);
-        }
-    }
-}
-
-/// Keeps a crowd of these kinds connected for [`CROWD_TIME`].
-pub(super) fn run_crowd(addr: SocketAddr, kinds: &[CrowdClient]) {
-    let start = Instant::now();
-    let kinds = kinds.iter().cycle().take(CLIENTS).enumerate();
-    let mut members: Vec<Member> = kinds
-        .map(|(number, &kind)| Member::new(addr, kind, number))
-        .collect();
-    while start.elapsed() < CROWD_TIME {
-        members.iter_mut().for_each(Member::write_more);
-        thread::sleep(ROUND);
-    }
-}
-
-/// Watches the memory of a process. Peaks are those of the memory that the process has written; the pages of the
-/// program's file, which a build for tests has many more of, are left out.
+/// Watches what the platform counts as the memory of a process: its resident pages and the files in its `$TMPDIR`.
 pub(super) struct MemoryWatch {
     stop: Arc<AtomicBool>,
     peak_kb: Arc<AtomicU64>,
@@ -143,15 +23,17 @@
 }
 
 impl MemoryWatch {
-    pub(super) fn start(pid: u32) -> MemoryWatch {
+    pub(super) fn start(pid: u32, folder: &Path) -> MemoryWatch {
         let (stop, peak_kb) = (
             Arc::new(AtomicBool::new(false)),
             Arc::new(AtomicU64::new(0)),
         );
         let (stop_requested, peak) = (stop.clone(), peak_kb.clone());
+        let folder = folder.to_owned();
         let watcher = thread::spawn(move || {
             while !stop_requested.load(Ordering::Relaxed) {
-                peak.fetch_max(anonymous_memory_kb(pid), Ordering::Relaxed);
+                let memory = resident_kb(pid) + files_kb(&folder);
+                peak.fetch_max(memory, Ordering::Relaxed);
                 thread::sleep(Duration::from_millis(5));
             }
         });
@@ -169,70 +51,79 @@
     }
 }
 
-fn anonymous_memory_kb(pid: u32) -> u64 {
+/// Peak of the resident memory of a process so far; 0 if it has ended.
+fn resident_kb(pid: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:"));
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
     line.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok())
         .unwrap_or(0)
 }
 
-/// Length of a response, far more than the systems of both sides keep for a connection that nobody reads.
-const LONG_RESPONSE: usize = 16 << 20;
-/// Id of the request that is sent after the crowd.
-const AFTER_CROWD: &str = "after";
+fn files_kb(folder: &Path) -> u64 {
+    let files = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    let lengths = files.filter_map(|file| Some(file.metadata().ok()?.len()));
+    lengths.map(|bytes| bytes.div_ceil(1024)).sum()
+}
 
-/// Starts a server that writes long responses to idempotent requests as fast as they are taken, and that reads no further
-/// than the head of any other request. Returns its address.
-fn start_server() -> SocketAddr {
-    let (addr, connections) = scripted_listener();
-    thread::spawn(move || {
-        for stream in connections {
-            thread::spawn(move || serve(stream));
-        }
-    });
-    addr
+/// A play of crowds, one after the other, at one process.
+struct Play {
+    memory_mb: u64,
+    sockets: u64,
+    crowds: Vec<Crowd>,
 }
 
-fn serve(mut stream: TcpStream) {
-    let mut input = BufReader::new(stream.try_clone().unwrap());
-    let (mut line, mut head) = (String::new(), String::new());
-    while line != "\r\n" {
-        line.clear();
-        if !matches!(input.read_line(&mut line), Ok(1..)) {
-            return;
+impl Play {
+    /// Crowds at a process with the least memory and the most descriptors.
+    fn with_least_memory(crowds: Vec<Crowd>) -> Play {
+        Play {
+            memory_mb: MEMORY_LIMIT_MB,
+            sockets: SOCKETS,
+            crowds,
         }
-        head.push_str(&line);
     }
-    if head.contains(&format!("-txn: {AFTER_CROWD}\r\n")) {
-        let _ = stream.write_all(ok_response("").as_bytes());
-    } else if head.starts_with("GET") {
-        let _ = write_response(&mut stream, Framing::Chunked, &vec![b'y'; LONG_RESPONSE]);
+
+    /// Plays the crowds. Returns what went wrong.
+    fn run(&self) -> Option<String> {
+        let limits = json!({"sockets": self.sockets, "memory_mb": self.memory_mb});
+        let servers: Vec<_> = (0..SERVERS)
+            .map(|n| member_at(&format!("s-{n}"), start_server()))
+            .collect();
+        let folder = tempfile::tempdir().unwrap();
+        let env = [("TMPDIR", folder.path().to_str().unwrap())];
+        let mut fixture = NodeFixture::configured(0, &env, |config| {
+            config["limits"] = limits;
+            config["known"]["members"] = json!(servers);
+        });
+        let watch = MemoryWatch::start(fixture.node.id(), folder.path());
+        for crowd in &self.crowds {
+            crowd.run(fixture.addr);
+        }
+        let peak_kb = watch.peak_kb();
+        let (memory_mb, sockets) = (self.memory_mb, self.sockets);
+        let what: Vec<_> = self
+            .crowds
+            .iter()
+            .map(|crowd| (&crowd.kinds, crowd.clients, crowd.reconnects))
+            .collect();
+        let what = format!("{peak_kb} kB of {memory_mb} MB, {sockets} descriptors: {what:?}");
+        println!("{what}");
+        if let Some(status) = fixture.node.try_wait().unwrap() {
+            return Some(format!("the process ended by itself, {status}: {what}"));
+        }
+        if peak_kb > memory_mb * 1024 {
+            return Some(what);
+        }
+        wait_until("the node serves after the crowd", || {
+            fixture.request("look", AFTER_CROWD).status() == 200
+        });
+        None
     }
-    thread::sleep(CROWD_TIME);
 }
 
 /// Asserts that a crowd of these kinds keeps the node within its memory limit and leaves it able to serve.
 fn assert_within_limit(kinds: &[CrowdClient]) {
-    let limits = json!({"sockets": SOCKETS, "memory_mb": MEMORY_LIMIT_MB});
-    let servers: Vec<_> = (0..SERVERS)
-        .map(|n| member_at(&format!("s-{n}"), start_server()))
-        .collect();
-    let mut fixture = NodeFixture::configured(0, &[], |config| {
-        config["limits"] = limits;
-        config["known"]["members"] = json!(servers);
-    });
-    let watch = MemoryWatch::start(fixture.node.id());
-    run_crowd(fixture.addr, kinds);
-    let peak_kb = watch.peak_kb();
-    println!("{kinds:?}: {peak_kb} kB");
-    assert!(
-        peak_kb <= MEMORY_LIMIT_MB * 1024,
-        "{kinds:?}: {peak_kb} kB of {MEMORY_LIMIT_MB} MB"
-    );
-    assert!(fixture.node.try_wait().unwrap().is_none(), "{kinds:?}");
-    wait_until("the node serves after the crowd", || {
-        fixture.request("look", AFTER_CROWD).status() == 200
-    });
+    let play = Play::with_least_memory(vec![Crowd::of(kinds)]);
+    assert_eq!(play.run(), None);
 }
 
 // Guards against a piece of a body that keeps the whole buffer in which it was read: 60 kB in small pieces took 500 MB.
@@ -270,3 +161,52 @@
 fn a_crowd_of_all_kinds_stays_within_the_memory_limit() {
     assert_within_limit(&KINDS);
 }
+
+// Guards against limits that hold for some kinds, numbers and limits of the page and not for others.
+#[test]
+fn no_crowd_up_to_the_limits_of_the_page_passes_the_memory_limit() {
+    let is_whole = std::env::var("MEMORY_SWEEP").is_ok();
+    let found: Vec<String> = sweep(is_whole).iter().filter_map(Play::run).collect();
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+/// The plays of the sweep: each kind alone at its most, pairs of kinds, all kinds, waves of kinds at one process, and the limits of
+/// the page in between.
+fn sweep(is_whole: bool) -> Vec<Play> {
+    let crowd = |kinds: &[CrowdClient], clients, reconnects| Crowd {
+        clients,
+        reconnects,
+        ..Crowd::of(kinds)
+    };
+    let mut plays = vec![Play::with_least_memory(vec![crowd(&KINDS, 900, true)])];
+    if !is_whole {
+        return plays;
+    }
+    for kind in KINDS {
+        plays.push(Play::with_least_memory(vec![crowd(&[kind], 600, false)]));
+        plays.push(Play::with_least_memory(vec![crowd(&[kind], 900, true)]));
+    }
+    for (index, &first) in KINDS.iter().enumerate() {
+        for &second in &KINDS[index + 1..] {
+            plays.push(Play::with_least_memory(vec![crowd(
+                &[first, second],
+                800,
+                true,
+            )]));
+        }
+    }
+    for (memory_mb, sockets) in [(32, 256), (32, 512), (48, 1_024), (64, 1_024), (192, 1_024)] {
+        let crowds = vec![crowd(&KINDS, 900, true)];
+        plays.push(Play {
+            memory_mb,
+            sockets,
+            crowds,
+        });
+    }
+    let waves = |kinds: &mut dyn Iterator<Item = &CrowdClient>| {
+        kinds.map(|&kind| crowd(&[kind], 700, true)).collect()
+    };
+    plays.push(Play::with_least_memory(waves(&mut KINDS.iter())));
+    plays.push(Play::with_least_memory(waves(&mut KINDS.iter().rev())));
+    plays
+}
--- a/tests/node/soak.rs
+++ b/tests/node/soak.rs
@@ -8,7 +8,8 @@
 
 use fastrand::Rng;
 
-use super::memory_limit::{run_crowd, MemoryWatch, KINDS, MEMORY_LIMIT_MB, SOCKETS};
+use super::crowd::{Crowd, KINDS};
+use super::memory_limit::{MemoryWatch, MEMORY_LIMIT_MB, SOCKETS};
 use super::*;
 
 /// Plays in a run of all tests.
@@ -196,7 +197,9 @@
             member_at(&format!("s-{number}"), addr)
         })
         .collect();
-    let mut fixture = NodeFixture::configured(0, &[], |config| {
+    let folder = tempfile::tempdir().unwrap();
+    let env = [("TMPDIR", folder.path().to_str().unwrap())];
+    let mut fixture = NodeFixture::configured(0, &env, |config| {
         config["limits"] = json!({"sockets": SOCKETS, "memory_mb": MEMORY_LIMIT_MB});
         config["known"]["members"] = json!(members);
         config["settings"]["registry-mode"] = json!("push");
@@ -210,7 +213,7 @@
         }
     });
     let (addr, front_end) = (fixture.addr, Arc::new(FrontEnd::default()));
-    let watch = MemoryWatch::start(fixture.node.id());
+    let watch = MemoryWatch::start(fixture.node.id(), folder.path());
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let (front_end, rng) = (front_end.clone(), rng.fork());
@@ -218,7 +221,7 @@
         })
         .collect();
     let has_crowd = seed.is_multiple_of(3);
-    let crowd = has_crowd.then(|| thread::spawn(move || run_crowd(addr, &KINDS)));
+    let crowd = has_crowd.then(|| thread::spawn(move || Crowd::of(&KINDS).run(addr)));
     let sigterm_at = Instant::now() + TIME_TO_SIGTERM;
     while Instant::now() < sigterm_at {
         thread::sleep(Duration::from_millis(rng.u64(20..400)));
--- a/tests/node/upload_deadlines.rs
+++ b/tests/node/upload_deadlines.rs
@@ -15,20 +15,6 @@
 /// Rate at which a server reads slowly, in bytes per second.
 const SLOW_RATE: usize = 111_866;
 
-/// Receive buffer of a server that reads slowly, in bytes.
-const SMALL_RECEIVE_BUFFER: usize = 4_096;
-/// Segment size of a server that reads slowly, in bytes: the sender's system keeps little for small segments.
-const SMALL_SEGMENT: u32 = 536;
-
-/// Starts a listener whose connections keep little that is not read.
-fn listener_with_small_buffers() -> (SocketAddr, Receiver<TcpStream>) {
-    let socket = bound_socket();
-    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
-    socket.set_tcp_mss(SMALL_SEGMENT).unwrap();
-    socket.listen(64).unwrap();
-    (address_of(&socket), connections(socket.into()))
-}
-
 /// Sends a request, and returns the status of its answer with the time from its last byte to the answer.
 fn upload(fixture: &NodeFixture, id: &str, framing: Framing, length: usize) -> (u16, Duration) {
     let mut client = fixture.connect();
