Node: a request whose end lies unread is answered in its time

Cause: the node reads 2 MiB ahead of a server, less where memory is short, and began a request's time when it had read its last byte. What lies unread beyond that has no time at all, so nothing ended the request until the server's connection stalled after 10 s.

Change: the node counts what has arrived on the connection, read or unread (FIONREAD). While the server doesn't take the body and nothing more arrives for the request's whole time, the request has timed out: its attempt ends as a timeout, and it is answered. A body whose end is read late has its time from when its last byte arrived. The client's unread bytes are counted in the same way where their end could hide that of a client, in place of a copy of 60 KiB.

--- a/src/bin/load-balancer/body/mod.rs
+++ b/src/bin/load-balancer/body/mod.rs
@@ -4,12 +4,14 @@
 
 use std::fmt;
 
+mod arrival;
 mod memory;
 mod outgoing;
 mod queue;
 mod response;
 mod upload;
 
+pub use arrival::ArrivalClock;
 pub use memory::BodyMemory;
 pub use outgoing::{OutgoingBody, Payload};
 pub use queue::BufferedBody;
--- a/src/bin/load-balancer/body/upload.rs
+++ b/src/bin/load-balancer/body/upload.rs
@@ -1,8 +1,8 @@
 //! A request's body on its way from its client.
 //!
-//! The client counts its time from the last byte that it sends, and the node from the last byte that it reads. So the
-//! node reads on while the server doesn't take the body, as far as memory allows. Otherwise the end of the body would wait
-//! in the socket's buffer, and the answer would come long after its time.
+//! The client counts its time from the last byte that it sends, and the node from when that byte arrived. So the node reads
+//! on while the server doesn't take the body, as far as memory allows. What lies unread beyond that may end with the
+//! last byte: if no more arrives for the request's whole time, that time is over, whether or not the end was read.
 
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout, Instant, Sleep};
 
+use super::arrival::ArrivalClock;
 use super::memory::{BodyMemory, Purpose};
 use super::queue::{BodyQueue, BufferedBody};
 use super::{BodyError, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
@@ -31,6 +32,10 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Most bytes of a body that are received ahead of its server.
 const MAX_AHEAD_BYTES: usize = 2 << 20;
+/// Interval at which the bytes that have arrived are counted while a server doesn't take the body.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Least time without a new byte before an unread body counts as complete.
+const MIN_QUIET_TIME: Duration = Duration::from_millis(250);
 /// Most parts that are received in one turn, so that a body of many small parts doesn't keep other tasks waiting.
 const MAX_PARTS_PER_TURN: u32 = 32;
 
@@ -39,6 +44,8 @@
 enum Stage {
     Receiving,
     Complete,
+    /// The request's time is over and the rest is unread, as the server doesn't take the body.
+    TimedOut,
     Failed(BodyError),
 }
 
@@ -60,7 +67,9 @@
     /// Bounds `deadline` while the process shuts down.
     shutdown_deadline: Rc<ShutdownDeadline>,
     stage: Cell<Stage>,
-    /// When the request must be answered; `None` until the body is complete.
+    /// When the last byte that is here arrived, read or unread.
+    arrival: ArrivalClock,
+    /// When the request must be answered; `None` until the body is complete or has timed out.
     deadline: Cell<Option<Instant>>,
     /// Whether a part has been passed to a server, so that the request can't be sent again.
     partly_sent: Cell<bool>,
@@ -154,6 +163,7 @@
         memory: &Rc<BodyMemory>,
         remaining_timeout: Duration,
         shutdown_deadline: Rc<ShutdownDeadline>,
+        arrival: ArrivalClock,
         waiting_since: Instant,
     ) -> Rc<Self> {
         let length = body.size_hint().exact();
@@ -167,6 +177,7 @@
             head_received_at: Instant::now(),
             shutdown_deadline,
             stage: Cell::new(Stage::Receiving),
+            arrival,
             deadline: Cell::new(None),
             partly_sent: Cell::new(false),
             ended: Notify::new(),
@@ -185,25 +196,53 @@
             match self.stage.get() {
                 Stage::Complete => return Ok(Some(self.received.borrow_mut().take_buffered())),
                 Stage::Failed(error) => return Err(error),
+                Stage::TimedOut => return Ok(None),
                 Stage::Receiving if !self.received.borrow().may_be_buffered() => return Ok(None),
                 Stage::Receiving => poll_fn(|cx| self.poll_client(cx, Purpose::ShortBody)).await,
             }
         }
     }
 
-    /// Receives the body until its end, ahead of the server as far as memory allows; returns when the request must be
-    /// answered.
+    /// Receives the body, ahead of the server as far as memory allows, until its end or until its time is over; returns
+    /// when the request must be answered.
     pub async fn receive(&self) -> Result<Instant, BodyError> {
         loop {
             match (self.stage.get(), self.deadline.get()) {
-                (Stage::Complete, Some(deadline)) => return Ok(deadline),
                 (Stage::Failed(error), _) => return Err(error),
-                _ if !self.may_receive_more() => self.part_taken.notified().await,
+                (_, Some(deadline)) => return Ok(deadline),
+                _ if !self.may_receive_more() => self.wait_for_server().await,
                 _ => poll_fn(|cx| self.poll_client(cx, Purpose::ReceivedAhead)).await,
             }
         }
     }
 
+    /// Waits until the server takes a part, or until the request's time is over if all that is unread is its end.
+    async fn wait_for_server(&self) {
+        let taken = timeout(ARRIVAL_CHECK_INTERVAL, self.part_taken.notified());
+        // Looked at before each wait too, as a server that reads slowly ends each of them early.
+        let last_arrival = self.arrival.last_arrival();
+        if self.arrival.unread_bytes() > 0 && Instant::now() >= self.gives_up_at(last_arrival) {
+            return self.end_reception(Stage::TimedOut);
+        }
+        let _ = taken.await;
+    }
+
+    /// When a request whose last byte may have come at `last_arrival` is given up.
+    fn gives_up_at(&self, last_arrival: Instant) -> Instant {
+        let deadline = self.deadline_from(last_arrival);
+        // During a shutdown the deadline may be earlier, and the client still be sending.
+        deadline.max(last_arrival + self.remaining_timeout.min(MIN_QUIET_TIME))
+    }
+
+    /// The deadline of a request whose last byte came at `complete_at`.
+    fn deadline_from(&self, complete_at: Instant) -> Instant {
+        self.shutdown_deadline.deadline_from(
+            complete_at,
+            self.remaining_timeout,
+            self.head_received_at,
+        )
+    }
+
     /// Whether another part may be received. One that finds no memory is received all the same when all others have been
     /// passed on, as the body would not move otherwise.
     fn may_receive_more(&self) -> bool {
@@ -229,16 +268,14 @@
         Poll::Ready(())
     }
 
-    /// Ends the reception, unless it has ended: sets the deadline if the body is complete, and wakes whoever waits for
+    /// Ends the reception, unless it has ended: sets the deadline if the last byte has come, and wakes whoever waits for
     /// the end.
     fn end_reception(&self, stage: Stage) {
         if self.stage.get() == Stage::Receiving {
             self.stage.set(stage);
-            let deadline = || {
-                self.shutdown_deadline
-                    .deadline(self.remaining_timeout, self.head_received_at)
-            };
-            self.deadline.set((stage == Stage::Complete).then(deadline));
+            let has_deadline = matches!(stage, Stage::Complete | Stage::TimedOut);
+            let deadline = || self.deadline_from(self.arrival.last_arrival());
+            self.deadline.set(has_deadline.then(deadline));
             self.ended.notify_waiters();
         }
     }
@@ -275,7 +312,7 @@
             (Some(part), _) => Some(Ok(part)),
             (None, Stage::Complete) => None,
             (None, Stage::Failed(error)) => Some(Err(error)),
-            (None, Stage::Receiving) => {
+            (None, Stage::Receiving | Stage::TimedOut) => {
                 self.server.replace(Some(cx.waker().clone()));
                 return Poll::Pending;
             }
@@ -335,7 +372,7 @@
         loop {
             let ended = self.ended.notified();
             match (self.stage.get(), self.deadline.get()) {
-                (Stage::Complete, Some(deadline)) => return sleep_until(deadline).await,
+                (_, Some(deadline)) => return sleep_until(deadline).await,
                 (Stage::Failed(_), _) => return std::future::pending().await,
                 _ => ended.await,
             }
--- a/src/bin/load-balancer/client_liveness.rs
+++ b/src/bin/load-balancer/client_liveness.rs
@@ -7,22 +7,22 @@
 //! socket's buffer may be full, its end can't be seen: it counts as one that has left, and its request is not sent.
 
 use std::cell::Cell;
-use std::mem::MaybeUninit;
 use std::os::fd::AsFd;
 use std::rc::{Rc, Weak};
 
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::socket_read::unread_bytes;
+
 /// The client has closed its side of the connection, even if bytes before the close are still unread. `poll`
 /// reports a reset whatever flags are requested.
 const CLIENT_CLOSED: PollFlags = PollFlags::from_bits_retain(nix::libc::POLLRDHUP);
 
 /// Unread bytes behind a request from which on the end of the client may be hidden: a little less than a socket's buffer
 /// holds at first. A client that waits for its response sends none.
-const HIDING_BYTES: usize = 60 * 1024;
+const HIDING_BYTES: u64 = 60 * 1024;
 
 struct Shared {
     disconnected: Cell<bool>,
@@ -74,7 +74,7 @@
             self.disconnect();
         }
         let has_unread = events.contains(PollFlags::POLLIN) && !self.is_streaming;
-        self.disconnected.get() || (has_unread && may_hide_end(&socket))
+        self.disconnected.get() || (has_unread && unread_bytes(&socket) >= HIDING_BYTES)
     }
 
     fn disconnect(&self) {
@@ -95,13 +95,6 @@
     }
 }
 
-/// Whether so many bytes are unread that the client's end may follow them unseen.
-fn may_hide_end(socket: &TcpStream) -> bool {
-    let mut unread = [MaybeUninit::uninit(); HIDING_BYTES];
-    let peeked = SockRef::from(socket).peek(&mut unread);
-    peeked.is_ok_and(|bytes| bytes >= HIDING_BYTES)
-}
-
 /// The origin of a request to a server: a client, or the node itself.
 #[derive(Clone)]
 pub struct Client(Option<Rc<Shared>>);
--- a/src/bin/load-balancer/clients.rs
+++ b/src/bin/load-balancer/clients.rs
@@ -22,7 +22,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::body::{
-    discard, BodyError, BufferedBody, Payload, ResponseBody, Upload, MAX_BODY_BYTES,
+    discard, ArrivalClock, BodyError, BufferedBody, Payload, ResponseBody, Upload, MAX_BODY_BYTES,
 };
 use crate::client_liveness::ClientLiveness;
 use crate::config::RuntimeConfig;
@@ -546,7 +546,7 @@
             };
         let remaining_timeout = remaining_timeout.saturating_sub(RESPONSE_MARGIN);
         let body = self
-            .read_body(body, remaining_timeout, client_connection)
+            .read_body(body, remaining_timeout, client_connection, socket)
             .await
             .map_err(body_error_response)?;
         // The client counts its timeout from the last byte that it sends; a buffered request was read shortly
@@ -675,7 +675,8 @@
         &self,
         body: Incoming,
         remaining_timeout: Duration,
-        client_connection: &ConnectionState,
+        client_connection: &Rc<ConnectionState>,
+        socket: &Rc<TcpStream>,
     ) -> Result<Payload, BodyError> {
         if body.is_end_stream() {
             return Ok(Payload::Buffered(BufferedBody::from("")));
@@ -690,6 +691,7 @@
                 self.servers.body_memory(),
                 remaining_timeout,
                 self.shutdown_deadline.clone(),
+                ArrivalClock::new(client_connection, socket),
                 client_connection.waiting_since(),
             ),
         };
@@ -725,7 +727,11 @@
                 let _ = self.messages.send(Message::RequestComplete(message));
             }
         }
-        Ok(response.await.unwrap_or(ClientResponse::DeadlineExceeded))
+        let response = response.await.unwrap_or(ClientResponse::DeadlineExceeded);
+        if !upload.is_complete() {
+            spawn_local(upload.discard());
+        }
+        Ok(response)
     }
 
     /// The index of the class that a request names in `X-Lane`; `None` if it names no class in use.
--- a/src/bin/load-balancer/connection.rs
+++ b/src/bin/load-balancer/connection.rs
@@ -38,6 +38,8 @@
     response_sent: Cell<bool>,
     /// Since when no request has been pending; `None` while one is.
     idle_since: Cell<Option<Instant>>,
+    /// Number of bytes read from the socket.
+    read_bytes: Cell<u64>,
     /// Whether anything was read from the socket since the last request.
     has_read: Cell<bool>,
     /// The head that is being received, or was received last.
@@ -57,6 +59,7 @@
             request_received: Cell::new(false),
             response_sent: Cell::new(false),
             idle_since: Cell::new(Some(now)),
+            read_bytes: Cell::new(0),
             has_read: Cell::new(false),
             head: RefCell::default(),
             response_broken: Cell::new(false),
@@ -97,6 +100,14 @@
         }
     }
 
+    /// Records what has been read from the socket.
+    fn record_read(&self, received: &[u8]) {
+        self.has_read.set(true);
+        self.read_bytes
+            .set(self.read_bytes.get() + received.len() as u64);
+        self.head.borrow_mut().scan(received);
+    }
+
     /// The pending request has been answered.
     pub fn request_answered(&self) {
         self.response_sent.set(true);
@@ -114,6 +125,11 @@
         self.idle_since.get()
     }
 
+    /// Number of bytes read from the socket.
+    pub fn read_bytes(&self) -> u64 {
+        self.read_bytes.get()
+    }
+
     /// Whether a part of the next request's head has been received.
     pub fn is_sending_head(&self) -> bool {
         self.idle_since.get().is_some() && self.head.borrow().has_begun
@@ -232,8 +248,7 @@
         let before = buffer.filled().len();
         ready!(socket_read::poll_read(&self.socket, cx, buffer))?;
         let received = &buffer.filled()[before..];
-        self.client_connection.has_read.set(true);
-        self.client_connection.head.borrow_mut().scan(received);
+        self.client_connection.record_read(received);
         Poll::Ready(Ok(()))
     }
 }
--- a/src/bin/load-balancer/event_loop/messages.rs
+++ b/src/bin/load-balancer/event_loop/messages.rs
@@ -100,7 +100,7 @@
     DeadlineExceeded,
 }
 
-/// The last byte of a request's body has arrived.
+/// The last byte of a request's body has arrived, though it may be unread: its time is known.
 pub struct RequestComplete {
     /// The number of the request, which now is complete.
     pub number: RequestNumber,
--- a/src/bin/load-balancer/event_loop/request_log.rs
+++ b/src/bin/load-balancer/event_loop/request_log.rs
@@ -70,10 +70,10 @@
         let Payload::Streaming(upload) = &self.0.upstream.body else {
             return Ok(());
         };
-        let state = if self.0.deadline.is_none() {
-            "pending"
-        } else {
+        let state = if upload.is_complete() {
             "complete"
+        } else {
+            "pending"
         };
         let (received, held) = (upload.received_bytes(), upload.held_bytes());
         write!(
--- a/src/bin/load-balancer/shutdown_deadline.rs
+++ b/src/bin/load-balancer/shutdown_deadline.rs
@@ -37,8 +37,18 @@
     /// A long body may be under way past the shutdown deadline. When such a request is complete it has its whole timeout:
     /// a deadline in the past would only make it fail.
     pub fn deadline(&self, remaining_timeout: Duration, head_received_at: Instant) -> Instant {
+        self.deadline_from(Instant::now(), remaining_timeout, head_received_at)
+    }
+
+    /// Like [`ShutdownDeadline::deadline`], for a request whose last byte came at `complete_at`.
+    pub fn deadline_from(
+        &self,
+        complete_at: Instant,
+        remaining_timeout: Duration,
+        head_received_at: Instant,
+    ) -> Instant {
         let now = Instant::now();
-        let deadline = now + remaining_timeout;
+        let deadline = complete_at + remaining_timeout;
         match self.0.get() {
             Some(end) if now < end + LATE_KILL_TOLERANCE || head_received_at >= end => {
                 deadline.min(end)
--- a/src/bin/load-balancer/socket_read.rs
+++ b/src/bin/load-balancer/socket_read.rs
@@ -6,12 +6,18 @@
 use std::io;
 use std::task::{ready, Context, Poll};
 
+use rustix::io::ioctl_fionread;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
 /// Most bytes that are read at once.
 const MAX_READ_BYTES: usize = 4 * 1024;
 
+/// Bytes that have arrived on a socket and were not read; 0 if the system doesn't tell.
+pub fn unread_bytes(socket: &TcpStream) -> u64 {
+    ioctl_fionread(socket).unwrap_or(0)
+}
+
 /// Reads what the socket has, up to [`MAX_READ_BYTES`]; nothing at the end of the connection.
 pub fn poll_read(
     socket: &TcpStream,
