Node: a response whose head is still arriving is not cut off by its attempt

A server that writes slowly from the first byte on was closed after the attempt's timeout in the middle of its head, and so was the next one; the last attempt has no timeout but the request's.

Change: an attempt has a clock (servers/attempt_clock.rs) that follows what the server has sent. While its head keeps arriving, with pauses up to 0.2 s, the attempt lasts up to the request's deadline. A head that stops to arrive times out after 0.2 s, so that another server can be tried; a short body after a complete head times out as before.

--- a/src/bin/load-balancer/event_loop/actions.rs
+++ b/src/bin/load-balancer/event_loop/actions.rs
@@ -12,7 +12,7 @@
 use super::request_table::InFlightAttempt;
 use super::timers::Timer;
 use super::EventLoop;
-use crate::servers::{Servers, UpstreamRequest};
+use crate::servers::{AttemptDeadline, Servers, UpstreamRequest};
 use crate::task::AbortOnDrop;
 
 impl EventLoop {
@@ -131,7 +131,7 @@
     server: ServerId,
     upstream: Rc<UpstreamRequest>,
     /// When the attempt times out; `None` while the request's body is still arriving.
-    deadline: Option<Instant>,
+    deadline: Option<AttemptDeadline>,
 }
 
 impl Attempt {
--- a/src/bin/load-balancer/event_loop/request_table.rs
+++ b/src/bin/load-balancer/event_loop/request_table.rs
@@ -12,7 +12,7 @@
 use super::request_log::FailedAttempt;
 use super::timers::TimerKey;
 use crate::run_once::IdHash;
-use crate::servers::UpstreamRequest;
+use crate::servers::{AttemptDeadline, UpstreamRequest};
 use crate::task::AbortOnDrop;
 
 /// An attempt that has not ended. Dropping it aborts it and closes its connection.
@@ -75,12 +75,17 @@
 
     /// When an attempt that is sent at `now` times out; `None` while the request has no deadline. An
     /// `attempt_timeout` of 0 sets no timeout besides the deadline.
-    pub fn attempt_deadline(&self, now: Instant, attempt_timeout: Micros) -> Option<Instant> {
-        let deadline = self.deadline?;
-        match attempt_timeout {
-            0 => Some(deadline),
-            timeout => Some(deadline.min(now + Duration::from_micros(timeout))),
-        }
+    pub fn attempt_deadline(
+        &self,
+        now: Instant,
+        attempt_timeout: Micros,
+    ) -> Option<AttemptDeadline> {
+        let request = self.deadline?;
+        let attempt = match attempt_timeout {
+            0 => request,
+            timeout => request.min(now + Duration::from_micros(timeout)),
+        };
+        Some(AttemptDeadline { attempt, request })
     }
 }
 
--- a/src/bin/load-balancer/servers.rs
+++ b/src/bin/load-balancer/servers.rs
@@ -15,7 +15,7 @@
 use load_balancer::{CellId, Endpoint, Outcome, ServerId, ServerState, UpdateKind};
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::body::{
@@ -32,6 +32,10 @@
 use crate::stream::{RequestProgress, UpstreamSocket};
 use crate::task::{AbortOnDrop, Budget, Permit};
 
+mod attempt_clock;
+
+pub use attempt_clock::{AttemptClock, AttemptDeadline};
+
 /// Largest read and write buffer of one connection, in bytes.
 const MAX_BUFFER_BYTES: usize = 16 * 1024;
 /// An idle connection is reused within this fraction of the servers' keep-alive timeout. A request that crosses
@@ -524,14 +528,14 @@
 
     /// Sends a request and returns how the attempt ended. Dropping the future closes the connection.
     ///
-    /// The attempt times out at `deadline`. Without a deadline, the request's body is still arriving, and the attempt
+    /// The attempt times out at `deadline` (see [`AttemptClock`]). Without a deadline, the request's body is still arriving, and the attempt
     /// times out at the deadline that the request has once its body is complete. At any time it times out if the server
     /// has stopped reading the request.
     pub async fn attempt(
         self: &Rc<Self>,
         server: ServerId,
         request: &UpstreamRequest,
-        deadline: Option<Instant>,
+        deadline: Option<AttemptDeadline>,
     ) -> UpstreamResult {
         self.attempt_with_room(server, request, deadline, None)
             .await
@@ -542,20 +546,20 @@
         self: &Rc<Self>,
         server: ServerId,
         request: &UpstreamRequest,
-        deadline: Option<Instant>,
+        deadline: Option<AttemptDeadline>,
         room: Option<ServerConnectionRoom>,
     ) -> UpstreamResult {
+        let clock = AttemptClock::new(deadline);
         let expired = async {
             match (&request.body, deadline) {
-                (_, Some(deadline)) => sleep_until(deadline).await,
                 (Payload::Streaming(upload), None) => upload.response_timed_out().await,
-                (Payload::Buffered(_), None) => std::future::pending().await,
+                _ => clock.timed_out().await,
             }
         };
         let sent_at = Instant::now();
         let result = tokio::select! {
             biased;
-            ended = self.send_and_receive(server, request, deadline, room) => ended,
+            ended = self.send_and_receive(server, request, &clock, room) => ended,
             () = expired => Outcome::Timeout.into(),
         };
         if result.outcome == Outcome::Timeout {
@@ -570,7 +574,7 @@
         self: &Rc<Self>,
         server: ServerId,
         request: &UpstreamRequest,
-        deadline: Option<Instant>,
+        clock: &Rc<AttemptClock>,
         mut room: Option<ServerConnectionRoom>,
     ) -> UpstreamResult {
         let mut reconnected = false;
@@ -587,7 +591,7 @@
             let ready = tokio::select! {
                 biased;
                 () = request.client.disconnected() => return Outcome::NotSent.into(),
-                ready = self.ready_connection(server, deadline, &mut room) => ready,
+                ready = self.ready_connection(server, clock.attempt_deadline(), &mut room) => ready,
             };
             let ReadyConnection {
                 mut connection,
@@ -602,7 +606,7 @@
                 self.return_to_pool(server, connection);
                 return Outcome::NotSent.into();
             }
-            match exchange(&mut connection, request, addr, deadline, &self.memory).await {
+            match exchange(&mut connection, request, addr, clock, &self.memory).await {
                 // The client disconnected after the check above and before the first byte was written.
                 Exchange::Unsent if request.client.has_disconnected() => {
                     return Outcome::NotSent.into()
@@ -750,8 +754,13 @@
         };
         // A health check does not wait as long as a request with a distant deadline may.
         let deadline = Instant::now() + self.settings().connect_timeout * 2;
-        self.attempt_with_room(server, &request, Some(deadline), Some(room))
-            .await
+        self.attempt_with_room(
+            server,
+            &request,
+            Some(AttemptDeadline::at(deadline)),
+            Some(room),
+        )
+        .await
     }
 }
 
@@ -789,18 +798,20 @@
     connection: &mut PooledConnection,
     request: &UpstreamRequest,
     addr: SocketAddr,
-    deadline: Option<Instant>,
+    clock: &Rc<AttemptClock>,
     memory: &Rc<BodyMemory>,
 ) -> Exchange {
-    connection.progress.begin(&request.client);
+    let deadline = clock.attempt_deadline();
+    connection.progress.begin(&request.client, clock);
     let http_request = http_request(request, addr, deadline, connection.progress.clone());
     let response = match connection.sender.try_send_request(http_request).await {
         Ok(response) => response,
         Err(_) if !connection.progress.is_fully_written() => return Exchange::Unsent,
         Err(_) => return Exchange::Broken,
     };
+    connection.progress.response_head_received();
     let (head, body) = response.into_parts();
-    // The timeout of the attempt ends where its response begins: from here on the server is only slow.
+    // The timeout of the attempt ends where a long response begins: from here on the server is only slow.
     let pass_on_by = deadline.map(|deadline| deadline - PASS_ON_MARGIN);
     match receive_response_body(body, memory, pass_on_by).await {
         Some(body) => Exchange::Response(head.status, head.headers, body),
--- a/src/bin/load-balancer/servers/tests.rs
+++ b/src/bin/load-balancer/servers/tests.rs
@@ -89,8 +89,12 @@
 }
 
 /// A deadline that no attempt of a test reaches.
-fn distant_deadline() -> Option<Instant> {
-    Some(Instant::now() + Duration::from_secs(20))
+fn distant_deadline() -> Option<AttemptDeadline> {
+    deadline_in(Duration::from_secs(20))
+}
+
+fn deadline_in(delay: Duration) -> Option<AttemptDeadline> {
+    Some(AttemptDeadline::at(Instant::now() + delay))
 }
 
 /// The body of a response, which must be buffered.
@@ -190,7 +194,7 @@
             let connection = servers.connect(addr, epoch, room()).await.unwrap();
             servers.return_to_pool(server, connection);
         }
-        let deadline = Some(Instant::now() + Duration::from_millis(50));
+        let deadline = deadline_in(Duration::from_millis(50));
         assert_eq!(
             servers.attempt(server, &request(), deadline).await.outcome,
             Outcome::Timeout
@@ -214,7 +218,7 @@
             target: Uri::from_static("/slow"),
             ..request()
         };
-        let (request, deadline) = (request(), Some(Instant::now() + Duration::from_millis(200)));
+        let (request, deadline) = (request(), deadline_in(Duration::from_millis(200)));
         let (slow, quick) = tokio::join!(
             servers.attempt(server, &slow, deadline),
             servers.attempt(server, &request, distant_deadline())
@@ -247,7 +251,7 @@
             &mut connection,
             &request(),
             addr,
-            distant_deadline(),
+            &AttemptClock::new(distant_deadline()),
             &servers.memory,
         )
         .await;
@@ -451,14 +455,9 @@
             disconnect(&client);
             let half_closed = (case == "end of sending").then_some(client);
             let (request, memory) = (client_request(), servers.memory.clone());
+            let clock = AttemptClock::new(distant_deadline());
             // The server never responds, so a request that was written would time out.
-            let sending = exchange(
-                &mut opened,
-                &request,
-                server_addr,
-                distant_deadline(),
-                &memory,
-            );
+            let sending = exchange(&mut opened, &request, server_addr, &clock, &memory);
             let ended = tokio::time::timeout(Duration::from_secs(10), sending).await;
             assert!(
                 matches!(ended, Ok(Exchange::Unsent)),
--- a/src/bin/load-balancer/stream.rs
+++ b/src/bin/load-balancer/stream.rs
@@ -11,6 +11,7 @@
 
 use crate::client_liveness::Client;
 use crate::metrics::Metrics;
+use crate::servers::AttemptClock;
 use crate::socket_read;
 use crate::write_stall::{is_stalled, StallGuard};
 
@@ -27,19 +28,28 @@
     fully_written: Cell<bool>,
     /// Whether the request is a health check, which is not counted as forwarded.
     is_health_check: Cell<bool>,
+    /// The clock of the current attempt.
+    clock: RefCell<Rc<AttemptClock>>,
     /// Whether the connection was given up because the server has stopped reading the request.
     stalled: Cell<bool>,
 }
 
 impl RequestProgress {
-    /// Starts the record of another request.
-    pub fn begin(&self, client: &Client) {
+    /// Starts the record of another request, whose attempt `clock` follows.
+    pub fn begin(&self, client: &Client, clock: &Rc<AttemptClock>) {
+        clock.restart();
+        self.clock.replace(clock.clone());
         self.client.replace(Some(client.clone()));
         self.is_health_check.set(client.is_node());
         self.body_taken.set(false);
         self.fully_written.set(false);
     }
 
+    /// The head of the response has been received.
+    pub fn response_head_received(&self) {
+        self.clock.borrow().record_head();
+    }
+
     /// The connection has taken the last part of the request.
     pub fn mark_body_taken(&self) {
         self.body_taken.set(true);
@@ -98,7 +108,12 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        socket_read::poll_read(&self.socket, cx, buffer)
+        let before = buffer.filled().len();
+        ready!(socket_read::poll_read(&self.socket, cx, buffer))?;
+        if buffer.filled().len() > before {
+            self.progress.clock.borrow().record_read();
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/tests/node/late_bodies.rs
+++ b/tests/node/late_bodies.rs
@@ -94,3 +94,73 @@
         assert!(first_byte < BODY_DELAY / 2, "{framing:?}: {first_byte:?}");
     }
 }
+
+/// Time that a server takes for the head of a response: far more than the timeout of an attempt that a retry can follow, once
+/// other requests of the class were fast.
+const HEAD_TIME: Duration = Duration::from_millis(600);
+/// Fast requests from which the node learns the latency of the class.
+const FAST_REQUESTS: usize = 60;
+
+/// Starts a server that answers fast, and requests whose id begins with `slow` with a long response that it writes slowly from
+/// its first byte on. Reports each slow request.
+fn serve_slow_heads(framing: Framing, requests: std::sync::mpsc::Sender<()>) -> SocketAddr {
+    let (addr, connections) = scripted_listener();
+    thread::spawn(move || {
+        for mut stream in connections {
+            let requests = requests.clone();
+            thread::spawn(move || {
+                let mut input = BufReader::new(stream.try_clone().unwrap());
+                while let Some(request) = Message::read(&mut input) {
+                    if !request.header("x-txn").starts_with("slow") {
+                        let _ = stream.write_all(ok_response("").as_bytes());
+                        continue;
+                    }
+                    let _ = requests.send(());
+                    let mut head = Vec::new();
+                    write_response_head(&mut head, framing, LONG_BODY).unwrap();
+                    for byte in &head {
+                        if stream.write_all(&[*byte]).is_err() {
+                            return;
+                        }
+                        thread::sleep(HEAD_TIME / head.len() as u32);
+                    }
+                    let _ = framing.write_body(&mut stream, &body_of(LONG_BODY));
+                    return;
+                }
+            });
+        }
+    });
+    addr
+}
+
+// Guards against the timeout of an attempt ending a response whose head is still arriving: the node cut off one sound server
+// after the other and then refused the request.
+#[test]
+fn a_long_response_whose_head_comes_in_small_pieces_is_passed_on() {
+    for framing in [Framing::Length, Framing::Chunked, Framing::End] {
+        let (sender, requests) = channel();
+        let members: Vec<_> = (0..SERVERS)
+            .map(|number| {
+                let addr = serve_slow_heads(framing, sender.clone());
+                member_at(&format!("s-{number}"), addr)
+            })
+            .collect();
+        let fixture = NodeFixture::configured(0, &[], |config| {
+            config["known"]["members"] = json!(members);
+            for class in config["settings"]["classes"].as_array_mut().unwrap() {
+                class["aim"] = json!(500_000);
+                class["deadline"] = json!(2_000_000);
+            }
+        });
+        for _ in 0..FAST_REQUESTS {
+            let response = fixture.exchange(&request("look", &new_id(), CLIENT_TIMEOUT_MS));
+            assert_eq!(response.status(), 200);
+        }
+        let id = format!("slow-{}", new_id());
+        let client = fixture.send(&request("look", &id, CLIENT_TIMEOUT_MS));
+        let (status, body) = read_response(client, framing);
+        assert_eq!(status, 200, "{framing:?}: {:?}", fixture.log.lines());
+        assert!(body == body_of(LONG_BODY), "{framing:?}: {}", body.len());
+        assert_eq!(requests.try_iter().count(), 1, "{framing:?}");
+    }
+}
