--- a/tests/node/memory_limit.rs
+++ b/tests/node/memory_limit.rs
@@ -170,6 +170,64 @@
     assert!(found.is_empty(), "{found:#?}");
 }
 
+/// Crowds at two processes that accept from the same listener, as in an upgrade. The limit holds for both together.
+fn peak_of_two_processes(crowds: &[Crowd]) -> u64 {
+    let servers: Vec<_> = (0..SERVERS)
+        .map(|n| member_at(&format!("s-{n}"), start_server()))
+        .collect();
+    let fixture = NodeFixture::configured(0, &[], |config| {
+        config["limits"] = json!({"sockets": SOCKETS, "memory_mb": MEMORY_LIMIT_MB});
+        config["known"]["members"] = json!(servers);
+    });
+    let folder = tempfile::tempdir().unwrap();
+    let env = [("TMPDIR", folder.path().to_str().unwrap())];
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let processes: Vec<_> = (0..2)
+        .map(|_| start(fixture.file.path(), Some(&listener), &env))
+        .collect();
+    let watches: Vec<_> = processes
+        .iter()
+        .map(|(process, ..)| MemoryWatch::start(process.id(), Path::new("")))
+        .collect();
+    for crowd in crowds {
+        crowd.run(listener.local_addr().unwrap());
+    }
+    let resident: u64 = watches.into_iter().map(MemoryWatch::peak_kb).sum();
+    for (process, ..) in processes {
+        let mut process = ChildGuard(process);
+        assert!(process.0.try_wait().unwrap().is_none());
+    }
+    resident + files_kb(folder.path())
+}
+
+// Guards against a limit that each of two processes of a node keeps alone and both together don't.
+#[test]
+fn two_processes_of_an_upgrade_stay_within_the_memory_limit_together() {
+    let is_whole = std::env::var("MEMORY_SWEEP").is_ok();
+    let all = Crowd {
+        clients: 1_400,
+        reconnects: true,
+        ..Crowd::of(&KINDS)
+    };
+    let mut plays = vec![vec![all.clone()]];
+    if is_whole {
+        plays.extend(KINDS.map(|kind| {
+            vec![Crowd {
+                kinds: vec![kind],
+                ..all.clone()
+            }]
+        }));
+    }
+    for crowds in plays {
+        let peak_kb = peak_of_two_processes(&crowds);
+        println!("two processes: {peak_kb} kB, {:?}", crowds[0].kinds);
+        assert!(
+            peak_kb <= MEMORY_LIMIT_MB * 1024,
+            "{peak_kb} kB: {crowds:?}"
+        );
+    }
+}
+
 /// The plays of the sweep: each kind alone at its most, pairs of kinds, all kinds, waves of kinds at one process, and the limits of
 /// the page in between.
 fn sweep(is_whole: bool) -> Vec<Play> {
--- a/tests/node/response_sweep.rs
+++ b/tests/node/response_sweep.rs
@@ -33,12 +33,7 @@
 impl Response {
     /// Plays the response. Returns what went wrong.
     fn run(self) -> Option<String> {
-        let (addr, connections) = scripted_listener();
-        thread::spawn(move || {
-            for stream in connections {
-                thread::spawn(move || self.serve(stream));
-            }
-        });
+        let addr = self.start_server();
         let timeout_us = self.timeout_ms * 1_000;
         let fixture = NodeFixture::configured(0, &[], |config| {
             config["limits"] = json!({"sockets": SOCKETS, "memory_mb": MEMORY_LIMIT_MB});
@@ -49,22 +44,34 @@
             }
         });
         let crowd = self.has_crowd.then(|| start_crowd(fixture.addr));
-        let fault = self.receive(&fixture);
+        let fault = self.receive(fixture.addr);
         if let Some(crowd) = crowd {
             crowd.join().unwrap();
         }
         fault.map(|fault| format!("{self:?}: {fault}; {:?}", fixture.log.lines()))
     }
 
-    fn serve(self, mut stream: TcpStream) {
+    fn start_server(self) -> SocketAddr {
+        let (addr, connections) = scripted_listener();
+        // Made before the first request, as its time would run meanwhile.
+        let mut body = Vec::new();
+        let whole = body_of(self.length);
+        self.framing.write_body(&mut body, &whole).unwrap();
+        let body = Arc::new(body);
+        thread::spawn(move || {
+            for stream in connections {
+                let body = body.clone();
+                thread::spawn(move || self.serve(stream, &body));
+            }
+        });
+        addr
+    }
+
+    fn serve(self, mut stream: TcpStream, body: &[u8]) {
         if Message::read(&mut BufReader::new(stream.try_clone().unwrap())).is_none() {
             return;
         }
         thread::sleep(self.head_delay);
-        let mut body = Vec::new();
-        self.framing
-            .write_body(&mut body, &body_of(self.length))
-            .unwrap();
         if write_response_head(&mut stream, self.framing, self.length).is_err() {
             return;
         }
@@ -77,8 +84,11 @@
         }
     }
 
-    fn receive(self, fixture: &NodeFixture) -> Option<String> {
-        let stream = fixture.send(&request("look", &new_id(), self.timeout_ms));
+    fn receive(self, addr: SocketAddr) -> Option<String> {
+        let mut stream = connect(addr);
+        stream
+            .write_all(&request("look", &new_id(), self.timeout_ms))
+            .unwrap();
         let sent_at = Instant::now();
         let mut input = BufReader::new(stream);
         if !input.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
@@ -116,6 +126,44 @@
     joined
 }
 
+// Guards against a slow response that is cut off by what happens meanwhile: its server leaves the list, the node gets other
+// settings, other requests at the same server time out, an operator sends clients away.
+#[test]
+fn a_slow_long_response_outlives_changes_of_its_server_and_its_node() {
+    for framing in [Framing::Length, Framing::Chunked, Framing::End] {
+        let response = Response {
+            length: 258_331,
+            framing,
+            timeout_ms: 800,
+            head_delay: Duration::ZERO,
+            body_delay: Duration::ZERO,
+            pause: Duration::from_millis(250),
+            has_crowd: false,
+        };
+        let addr = response.start_server();
+        let mut fixture = NodeFixture::configured(1, &ADMIN_ENV, |config| {
+            config["known"]["members"] = json!([member_at("s-0", addr)]);
+            config["settings"]["registry-mode"] = json!("push");
+        });
+        fixture.members = vec![member_at("s-0", addr)];
+        let (_, mut watch) = fixture.watch();
+        let node_addr = fixture.addr;
+        let received = thread::spawn(move || response.receive(node_addr));
+        thread::sleep(Duration::from_millis(500));
+        for (phase, revision) in [("terminating", 42), ("terminated", 43)] {
+            let change = fixture.change_phase(0, phase, revision);
+            write_chunk(&mut watch, &change);
+            // Its answer, if any, comes late.
+            let _other = fixture.send(&request("pay", &new_id(), 100));
+            thread::sleep(Duration::from_millis(200));
+        }
+        fixture.signal("-HUP");
+        assert_eq!(fixture.admin_call("POST /standby").status(), 200);
+        let fault = received.join().unwrap();
+        assert_eq!(fault, None, "{framing:?}: {:?}", fixture.log.lines());
+    }
+}
+
 // Guards against a sound long response that is cut off because its server writes it slowly.
 #[test]
 fn long_responses_of_all_lengths_and_paces_are_passed_on_whole() {
@@ -168,6 +216,10 @@
                     };
                     responses.push(late);
                     if is_whole {
+                        responses.push(Response {
+                            head_delay: ms(timeout_ms / 3),
+                            ..response
+                        });
                         responses.push(Response {
                             body_delay: ms(timeout_ms * 3 / 2),
                             ..response
