Node: a request whose end waits in its client's system is answered in its time

Cause: the time of a request was taken from when its last byte arrived. The client counts from when it wrote it, and its system may hold 4 MB that the node has left no room for. These arrive as slowly as the server reads, so that the count of arrived bytes kept growing.

Change: the node keeps when how many bytes had arrived. When the last byte was written all but 4 MB (Linux's largest send buffer by default) had arrived, and the connection had not yet been found empty. From that earliest time on the request's time counts, with 0.1 s more before it is given up. A body whose declared length shows that more is to be written is not given up.

--- a/src/bin/load-balancer/body/upload.rs
+++ b/src/bin/load-balancer/body/upload.rs
@@ -1,8 +1,8 @@
 //! A request's body on its way from its client.
 //!
-//! The client counts its time from the last byte that it sends, and the node from when that byte arrived. So the node reads
-//! on while the server doesn't take the body, as far as memory allows. What lies unread beyond that may end with the
-//! last byte: if no more arrives for the request's whole time, that time is over, whether or not the end was read.
+//! The client counts its time from the last byte that it writes. So the node reads on while the server doesn't take the body,
+//! as far as memory allows, and follows what has arrived beyond that: the last byte may be there unread, or wait in the
+//! client's system. Where it may have been written so early that the request's time is over, the request is given up.
 
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
@@ -17,7 +17,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout, Instant, Sleep};
 
-use super::arrival::ArrivalClock;
+use super::arrival::{ArrivalClock, MAX_UNSENT_BYTES};
 use super::memory::{BodyMemory, Purpose};
 use super::queue::{BodyQueue, BufferedBody};
 use super::{BodyError, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
@@ -34,7 +34,10 @@
 const MAX_AHEAD_BYTES: usize = 2 << 20;
 /// Interval at which the bytes that have arrived are counted while a server doesn't take the body.
 const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-/// Least time without a new byte before an unread body counts as complete.
+/// A request whose end may lie unread is given up this long after its time may have been over: its client may have written
+/// the end later. An answer up to half a second late is none that is lost.
+const GIVE_UP_DELAY: Duration = Duration::from_millis(100);
+/// Least time without a new byte before an unread body is given up.
 const MIN_QUIET_TIME: Duration = Duration::from_millis(250);
 /// Most parts that are received in one turn, so that a body of many small parts doesn't keep other tasks waiting.
 const MAX_PARTS_PER_TURN: u32 = 32;
@@ -67,7 +70,7 @@
     /// Bounds `deadline` while the process shuts down.
     shutdown_deadline: Rc<ShutdownDeadline>,
     stage: Cell<Stage>,
-    /// When the last byte that is here arrived, read or unread.
+    /// When the last byte may have been written.
     arrival: ArrivalClock,
     /// When the request must be answered; `None` until the body is complete or has timed out.
     deadline: Cell<Option<Instant>>,
@@ -132,6 +135,11 @@
         }
     }
 
+    /// Whether the node waits for the client, as nothing more has arrived.
+    fn is_waiting(&self) -> bool {
+        self.waiting_since.is_some()
+    }
+
     fn count(&mut self, part: Bytes) -> Result<Option<Bytes>, BodyError> {
         self.received_bytes += part.len() as u64;
         if self.received_bytes > MAX_BODY_BYTES {
@@ -219,19 +227,26 @@
     /// Waits until the server takes a part, or until the request's time is over if all that is unread is its end.
     async fn wait_for_server(&self) {
         let taken = timeout(ARRIVAL_CHECK_INTERVAL, self.part_taken.notified());
+        self.arrival.held_back();
         // Looked at before each wait too, as a server that reads slowly ends each of them early.
-        let last_arrival = self.arrival.last_arrival();
-        if self.arrival.unread_bytes() > 0 && Instant::now() >= self.gives_up_at(last_arrival) {
+        if self.may_be_written() && Instant::now() >= self.gives_up_at() {
             return self.end_reception(Stage::TimedOut);
         }
         let _ = taken.await;
     }
 
-    /// When a request whose last byte may have come at `last_arrival` is given up.
-    fn gives_up_at(&self, last_arrival: Instant) -> Instant {
-        let deadline = self.deadline_from(last_arrival);
-        // During a shutdown the deadline may be earlier, and the client still be sending.
-        deadline.max(last_arrival + self.remaining_timeout.min(MIN_QUIET_TIME))
+    /// Whether the client may have written the whole body, although its end has not been read.
+    fn may_be_written(&self) -> bool {
+        let unread_bytes = self.arrival.unread_bytes();
+        let seen_bytes = self.received_bytes() + unread_bytes + MAX_UNSENT_BYTES;
+        unread_bytes > 0 && self.length.is_none_or(|length| length <= seen_bytes)
+    }
+
+    /// When a request whose end may lie unread is given up.
+    fn gives_up_at(&self) -> Instant {
+        let deadline = self.deadline_from(self.arrival.earliest_end()) + GIVE_UP_DELAY;
+        // During a shutdown the deadline may be earlier, and the client still be writing.
+        deadline.max(self.arrival.last_arrival() + self.remaining_timeout.min(MIN_QUIET_TIME))
     }
 
     /// The deadline of a request whose last byte came at `complete_at`.
@@ -253,7 +268,13 @@
     /// Receives the next part from the client and updates the stage.
     fn poll_client(&self, cx: &mut Context<'_>, purpose: Purpose) -> Poll<()> {
         let mut source = self.source.borrow_mut();
-        match ready!(source.poll(cx)) {
+        let polled = source.poll(cx);
+        if polled.is_pending() && source.is_waiting() {
+            self.arrival.waiting();
+        }
+        let polled = ready!(polled);
+        self.arrival.part_read();
+        match polled {
             Err(error) => self.end_reception(Stage::Failed(error)),
             Ok(None) => self.end_reception(Stage::Complete),
             Ok(Some(part)) => {
@@ -274,7 +295,7 @@
         if self.stage.get() == Stage::Receiving {
             self.stage.set(stage);
             let has_deadline = matches!(stage, Stage::Complete | Stage::TimedOut);
-            let deadline = || self.deadline_from(self.arrival.last_arrival());
+            let deadline = || self.deadline_from(self.arrival.earliest_end());
             self.deadline.set(has_deadline.then(deadline));
             self.ended.notify_waiters();
         }
--- a/tests/node/memory_limit.rs
+++ b/tests/node/memory_limit.rs
@@ -14,6 +14,8 @@
 pub(super) const SOCKETS: u64 = 1_024;
 /// Servers of the node.
 const SERVERS: usize = 6;
+/// The most servers that the platform's largest fleets have.
+const MAX_SERVERS: usize = 3_200;
 
 /// Watches what the platform counts as the memory of a process: its resident pages and the files in its `$TMPDIR`.
 pub(super) struct MemoryWatch {
@@ -69,6 +71,8 @@
 struct Play {
     memory_mb: u64,
     sockets: u64,
+    /// Entries of the list of servers.
+    listed: usize,
     crowds: Vec<Crowd>,
 }
 
@@ -78,6 +82,7 @@
         Play {
             memory_mb: MEMORY_LIMIT_MB,
             sockets: SOCKETS,
+            listed: SERVERS,
             crowds,
         }
     }
@@ -85,8 +90,9 @@
     /// Plays the crowds. Returns what went wrong.
     fn run(&self) -> Option<String> {
         let limits = json!({"sockets": self.sockets, "memory_mb": self.memory_mb});
-        let servers: Vec<_> = (0..SERVERS)
-            .map(|n| member_at(&format!("s-{n}"), start_server()))
+        let addresses: Vec<_> = (0..SERVERS).map(|_| start_server()).collect();
+        let servers: Vec<_> = (0..self.listed)
+            .map(|n| member_at(&format!("s-{n}"), addresses[n % SERVERS]))
             .collect();
         let folder = tempfile::tempdir().unwrap();
         let env = [("TMPDIR", folder.path().to_str().unwrap())];
@@ -99,13 +105,15 @@
             crowd.run(fixture.addr);
         }
         let peak_kb = watch.peak_kb();
-        let (memory_mb, sockets) = (self.memory_mb, self.sockets);
+        let (memory_mb, sockets, listed) = (self.memory_mb, self.sockets, self.listed);
         let what: Vec<_> = self
             .crowds
             .iter()
             .map(|crowd| (&crowd.kinds, crowd.clients, crowd.reconnects))
             .collect();
-        let what = format!("{peak_kb} kB of {memory_mb} MB, {sockets} descriptors: {what:?}");
+        let what = format!(
+            "{peak_kb} kB of {memory_mb} MB, {sockets} descriptors, {listed} servers: {what:?}"
+        );
         println!("{what}");
         if let Some(status) = fixture.node.try_wait().unwrap() {
             return Some(format!("the process ended by itself, {status}: {what}"));
@@ -253,12 +261,19 @@
             )]));
         }
     }
-    for (memory_mb, sockets) in [(32, 256), (32, 512), (48, 1_024), (64, 1_024), (192, 1_024)] {
-        let crowds = vec![crowd(&KINDS, 900, true)];
+    for (memory_mb, sockets, listed) in [
+        (32, 256, SERVERS),
+        (32, 512, SERVERS),
+        (32, 1_024, MAX_SERVERS),
+        (48, 1_024, SERVERS),
+        (64, 1_024, SERVERS),
+        (192, 1_024, SERVERS),
+    ] {
         plays.push(Play {
             memory_mb,
             sockets,
-            crowds,
+            listed,
+            crowds: vec![crowd(&KINDS, 900, true)],
         });
     }
     let waves = |kinds: &mut dyn Iterator<Item = &CrowdClient>| {
--- a/tests/node/upload_sweep.rs
+++ b/tests/node/upload_sweep.rs
@@ -259,6 +259,23 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+// Guards against the same where the end lies in the client's own system, as the node has left no room in its own.
+#[test]
+fn a_request_whose_end_waits_at_its_client_is_answered_in_its_time() {
+    let slowly_read = Upload {
+        framing: Framing::Length,
+        timeout_ms: 2_000,
+        server: ServerPace::Rate(5_000_000),
+        ..STUCK
+    };
+    let uploads = [4 << 20, 8 << 20, 32 << 20].map(|length| Upload {
+        length,
+        ..slowly_read
+    });
+    let faults = run_all(&uploads);
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
 // Guards against the same for shorter bodies, where other uploads use the memory for bodies.
 #[test]
 fn a_request_beside_uploads_that_use_the_memory_is_answered_in_its_time() {
