--- a/src/bin/load-balancer/body/mod.rs
+++ b/src/bin/load-balancer/body/mod.rs
@@ -10,6 +10,7 @@
 mod queue;
 mod response;
 mod upload;
+mod upload_source;
 
 pub use arrival::ArrivalClock;
 pub use memory::BodyMemory;
--- a/src/bin/load-balancer/servers.rs
+++ b/src/bin/load-balancer/servers.rs
@@ -2,26 +2,19 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue, HOST};
-use hyper::{Method, Request, StatusCode, Uri};
-use hyper_util::rt::TokioIo;
+use hyper::header::HeaderMap;
+use hyper::{Method, Uri};
 use load_balancer::settings::NameIds;
 use load_balancer::{CellId, Endpoint, Outcome, ServerId, ServerState, UpdateKind};
-use tokio::net::TcpStream;
 use tokio::task::yield_now;
 use tokio::time::{timeout_at, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::body::{
-    receive_response_body, BodyMemory, BufferedBody, OutgoingBody, Payload, ReceivedBody,
-    ResponseBody,
-};
+use crate::body::{BodyMemory, BufferedBody, Payload, ReceivedBody, ResponseBody};
 use crate::client_liveness::Client;
 use crate::config::NodeSettings;
 use crate::connection_memory::ConnectionMemory;
@@ -29,25 +22,16 @@
 use crate::discovery::server_number;
 use crate::memory_budget::MemoryReservation;
 use crate::metrics::{Metrics, RequestOutcome};
-use crate::stream::{RequestProgress, UpstreamSocket};
-use crate::task::{AbortOnDrop, Budget, Permit};
+use crate::task::Budget;
 
 mod attempt_clock;
+mod exchange;
+mod pool;
 
 pub use attempt_clock::{AttemptClock, AttemptDeadline};
+use exchange::{exchange, parse_load_report, response_outcome, Exchange};
+use pool::{PooledConnection, ServerConnectionRoom};
 
-/// Largest read and write buffer of one connection, in bytes.
-const MAX_BUFFER_BYTES: usize = 16 * 1024;
-/// An idle connection is reused within this fraction of the servers' keep-alive timeout. A request that crosses
-/// the server's close on the wire ends as a reset, and a non-idempotent one can't be retried.
-const MAX_IDLE_FRACTION: f64 = 0.6;
-/// A connection is not reused for this long after a response. A spurious second response a few milliseconds
-/// later would be taken for that of the next request, and a close that follows the response would cross the next
-/// request on the wire.
-const REUSE_DELAY: Duration = Duration::from_millis(30);
-
-/// A long response is passed on this long before its attempt would time out.
-const PASS_ON_MARGIN: Duration = Duration::from_millis(2);
 /// Most ids of listed servers that are remembered after the servers have left the list.
 const MAX_REMEMBERED_IDS: usize = 1 << 16;
 
@@ -89,25 +73,6 @@
     }
 }
 
-/// A connection to a server. Closed when dropped.
-struct PooledConnection {
-    sender: SendRequest<OutgoingBody>,
-    /// How much of the current request has been written.
-    progress: Rc<RequestProgress>,
-    _connection: AbortOnDrop,
-    _memory: Option<MemoryReservation>,
-    /// The server's epoch when this connection was opened.
-    epoch: u64,
-    idle_since: Instant,
-}
-
-/// What a connection to a server takes of the process.
-struct ServerConnectionRoom {
-    permit: Permit,
-    /// `None` for a health check that has a reserved socket.
-    memory: Option<MemoryReservation>,
-}
-
 /// A connection on which a request can be sent now.
 struct ReadyConnection {
     connection: PooledConnection,
@@ -170,16 +135,6 @@
     zone_and_kind_ids: RefCell<NameIds>,
 }
 
-/// The result of sending a request on a connection.
-enum Exchange {
-    /// The request's last byte was not written: the server can't have run it.
-    Unsent,
-    /// The connection broke after the request was written: the server may have run it.
-    Broken,
-    /// The server's response.
-    Response(StatusCode, HeaderMap, ReceivedBody),
-}
-
 impl Servers {
     /// Replaces the settings; attempts in flight use the new ones from here on.
     pub fn reload(&self, settings: NodeSettings) {
@@ -377,153 +332,6 @@
         (!past_grace).then_some((entry.addr, entry.epoch))
     }
 
-    // Pooling, opening and closing of connections.
-
-    /// Closes the idle connections to a server.
-    pub fn close_idle(&self, server: ServerId) {
-        if let Some(entry) = self.entries.borrow_mut().get_mut(&server) {
-            entry.idle.clear();
-        }
-    }
-
-    /// Closes the idle connections to a server that has sent no response since `sent_at`, when an attempt was sent that
-    /// got none. Its machine may have failed: requests on these connections would go unanswered, while a new
-    /// connection fails to open. A server that responds to other requests is only slow, and new connections
-    /// would add to its load.
-    pub fn close_idle_if_unresponsive(&self, server: ServerId, sent_at: Instant) {
-        if let Some(entry) = self.entries.borrow_mut().get_mut(&server) {
-            if entry
-                .last_response_at
-                .is_none_or(|responded_at| responded_at < sent_at)
-            {
-                entry.idle.clear();
-            }
-        }
-    }
-
-    fn record_response(&self, server: ServerId) {
-        if let Some(entry) = self.entries.borrow_mut().get_mut(&server) {
-            entry.last_response_at = Some(Instant::now());
-        }
-    }
-
-    /// Closes the connections that have been idle for too long and drops those that their server has closed. Called
-    /// every [`IDLE_CHECK_INTERVAL`].
-    pub fn close_expired_idle(&self) {
-        let max_idle_time = self.settings().keepalive.mul_f64(MAX_IDLE_FRACTION);
-        for entry in self.entries.borrow_mut().values_mut() {
-            entry.idle.retain(|connection| {
-                !connection.sender.is_closed() && connection.idle_since.elapsed() < max_idle_time
-            });
-        }
-    }
-
-    /// Closes the connection that has been idle for longest; returns `false` if none is idle.
-    pub fn evict_idle_connection(&self) -> bool {
-        let mut entries = self.entries.borrow_mut();
-        let oldest = entries
-            .values_mut()
-            .filter(|e| !e.idle.is_empty())
-            .min_by_key(|e| e.idle[0].idle_since);
-        oldest.map(|entry| drop(entry.idle.remove(0))).is_some()
-    }
-
-    /// Takes the most recently used idle connection that can be reused now.
-    fn take_idle_connection(&self, server: ServerId) -> Option<PooledConnection> {
-        let max_idle_time = self.settings().keepalive.mul_f64(MAX_IDLE_FRACTION);
-        let mut entries = self.entries.borrow_mut();
-        let entry = entries.get_mut(&server)?;
-        let is_reusable =
-            |connection: &PooledConnection| connection.idle_since.elapsed() >= REUSE_DELAY;
-        while let Some(last) = entry.idle.iter().rposition(is_reusable) {
-            let connection = entry.idle.remove(last);
-            if !connection.sender.is_closed() && connection.idle_since.elapsed() < max_idle_time {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    /// Returns a connection to the pool. It is closed instead if the server has restarted, moved or become
-    /// unavailable since, or has closed it.
-    fn return_to_pool(&self, server: ServerId, mut connection: PooledConnection) {
-        let mut entries = self.entries.borrow_mut();
-        let Some(entry) = entries.get_mut(&server) else {
-            return;
-        };
-        if entry.epoch == connection.epoch
-            && entry.unavailable_since.is_none()
-            && !connection.sender.is_closed()
-        {
-            connection.idle_since = Instant::now();
-            entry.idle.push(connection);
-        }
-    }
-
-    /// Room for a connection to a server. If there is none, idle connections are closed; `None` if none is left to close.
-    async fn room_for_connection(&self) -> Option<ServerConnectionRoom> {
-        let memory = loop {
-            if let Some(memory) = self.connection_memory.reserve_server_connection() {
-                break memory;
-            }
-            if !self.evict_idle_connection() {
-                return None;
-            }
-        };
-        let permit = self.shared_permit().await?;
-        Some(ServerConnectionRoom {
-            permit,
-            memory: Some(memory),
-        })
-    }
-
-    /// A permit to open a socket. If all are in use, idle connections are closed; `None` if none is left to close.
-    pub async fn shared_permit(&self) -> Option<Permit> {
-        loop {
-            if let Some(permit) = self.shared_sockets.take() {
-                return Some(permit);
-            }
-            if !self.evict_idle_connection() {
-                return None;
-            }
-            // The socket closes when the connection's task is next polled.
-            yield_now().await;
-        }
-    }
-
-    /// Opens a connection, which holds its room until it is closed.
-    async fn connect(
-        &self,
-        addr: SocketAddr,
-        epoch: u64,
-        room: ServerConnectionRoom,
-    ) -> io::Result<PooledConnection> {
-        let ServerConnectionRoom { permit, memory } = room;
-        self.metrics.connections_opened.increment();
-        let stream = TcpStream::connect(addr).await?;
-        stream.set_nodelay(true)?;
-        let progress = Rc::new(RequestProgress::default());
-        let stream = UpstreamSocket::new(stream, progress.clone(), self.metrics.clone());
-        let (sender, connection) = http1::Builder::new()
-            .max_headers(64)
-            .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
-        let connection = AbortOnDrop::spawn(async move {
-            let _permit = permit;
-            let _ = connection.await;
-        });
-        Ok(PooledConnection {
-            sender,
-            progress,
-            _connection: connection,
-            _memory: memory,
-            epoch,
-            idle_since: Instant::now(),
-        })
-    }
-
     // Attempts and health checks: sending requests and receiving responses.
 
     /// Sends a request and returns how the attempt ended. Dropping the future closes the connection.
@@ -764,91 +572,6 @@
     }
 }
 
-/// The HTTP request of an attempt, which carries the remaining timeout as a header.
-fn http_request(
-    request: &UpstreamRequest,
-    addr: SocketAddr,
-    deadline: Option<Instant>,
-    progress: Rc<RequestProgress>,
-) -> Request<OutgoingBody> {
-    let mut http_request = Request::new(request.body.outgoing(progress));
-    *http_request.method_mut() = request.method.clone();
-    *http_request.uri_mut() = request.target.clone();
-    *http_request.headers_mut() = request.headers.clone();
-    let remaining_timeout = match (&request.body, deadline) {
-        (_, Some(deadline)) => deadline.saturating_duration_since(Instant::now()),
-        (Payload::Streaming(upload), None) => upload.remaining_timeout(),
-        (Payload::Buffered(_), None) => Duration::MAX,
-    };
-    let headers = http_request.headers_mut();
-    headers.insert(
-        "x-remaining-ms",
-        HeaderValue::from((remaining_timeout.as_millis() as u64).max(1)),
-    );
-    if !headers.contains_key(HOST) {
-        if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
-            headers.insert(HOST, host);
-        }
-    }
-    http_request
-}
-
-/// Sends a request on a connection and receives the response, with the beginning of its body or all of it.
-async fn exchange(
-    connection: &mut PooledConnection,
-    request: &UpstreamRequest,
-    addr: SocketAddr,
-    clock: &Rc<AttemptClock>,
-    memory: &Rc<BodyMemory>,
-) -> Exchange {
-    let deadline = clock.attempt_deadline();
-    connection.progress.begin(&request.client, clock);
-    let http_request = http_request(request, addr, deadline, connection.progress.clone());
-    let response = match connection.sender.try_send_request(http_request).await {
-        Ok(response) => response,
-        Err(_) if !connection.progress.is_fully_written() => return Exchange::Unsent,
-        Err(_) => return Exchange::Broken,
-    };
-    connection.progress.response_head_received();
-    let (head, body) = response.into_parts();
-    // The timeout of the attempt ends where a long response begins: from here on the server is only slow.
-    let pass_on_by = deadline.map(|deadline| deadline - PASS_ON_MARGIN);
-    match receive_response_body(body, memory, pass_on_by).await {
-        Some(body) => Exchange::Response(head.status, head.headers, body),
-        // The response broke off before the request was completely written: the server can't have run it.
-        None if !connection.progress.is_fully_written() => Exchange::Unsent,
-        None => Exchange::Broken,
-    }
-}
-
-/// The outcome of an attempt by its response. Only the header `X-Turned-Away: 1` proves that the server rejected the
-/// request without running it: a 503 or 504 without the header may come from a request that ran.
-fn response_outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
-    let rejected = headers
-        .get("x-turned-away")
-        .is_some_and(|value| value == "1");
-    match status {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => {
-            Outcome::Overloaded
-        }
-        _ => Outcome::Error,
-    }
-}
-
-/// The fields of a load report, in the order of the settings: up to the first that is missing, and none if the
-/// header is missing or not a JSON object of numbers.
-fn parse_load_report(headers: &HeaderMap, fields: &[String]) -> Vec<f64> {
-    let Some(text) = headers.get("x-pressure") else {
-        return Vec::new();
-    };
-    let report: HashMap<String, f64> = serde_json::from_slice(text.as_bytes()).unwrap_or_default();
-    fields
-        .iter()
-        .map_while(|field| report.get(field).copied())
-        .collect()
-}
-
 /// Interval between two calls of [`Servers::close_expired_idle`].
 pub const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/src/bin/load-balancer/servers/tests.rs
+++ b/src/bin/load-balancer/servers/tests.rs
@@ -2,11 +2,15 @@
 
 use std::io::Read;
 
+use hyper::header::HeaderValue;
+use hyper::StatusCode;
+
+use super::pool::REUSE_DELAY;
 use super::*;
 use crate::client_liveness::ClientLiveness;
 use crate::discovery::endpoint_list::EndpointEntry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, LocalSet};
 
 fn servers(sockets: usize) -> Rc<Servers> {
--- a/tests/node/late_bodies.rs
+++ b/tests/node/late_bodies.rs
@@ -22,14 +22,19 @@
             member_at(&format!("s-late-{number}"), addr)
         })
         .collect();
-    let fixture = NodeFixture::configured(0, &[], |config| {
+    (fixture_with_members(&members), received)
+}
+
+/// Starts a node with these servers, whose classes have the latency objective and the deadline of the platform's idempotent
+/// class.
+fn fixture_with_members(members: &[serde_json::Value]) -> NodeFixture {
+    NodeFixture::configured(0, &[], |config| {
         config["known"]["members"] = json!(members);
         for class in config["settings"]["classes"].as_array_mut().unwrap() {
             class["aim"] = json!(500_000);
             class["deadline"] = json!(2_000_000);
         }
-    });
-    (fixture, received)
+    })
 }
 
 fn serve_late_bodies(
@@ -145,13 +150,7 @@
                 member_at(&format!("s-{number}"), addr)
             })
             .collect();
-        let fixture = NodeFixture::configured(0, &[], |config| {
-            config["known"]["members"] = json!(members);
-            for class in config["settings"]["classes"].as_array_mut().unwrap() {
-                class["aim"] = json!(500_000);
-                class["deadline"] = json!(2_000_000);
-            }
-        });
+        let fixture = fixture_with_members(&members);
         for _ in 0..FAST_REQUESTS {
             let response = fixture.exchange(&request("look", &new_id(), CLIENT_TIMEOUT_MS));
             assert_eq!(response.status(), 200);
