Node: a shortage of memory does not keep connections from being accepted

Found in reading the change: the loop that accepts connections closed others whenever one found no memory for a longer request, first of all. A crowd that reads and finds none again and again would have kept it from accepting. A task of its own closes them, one every 2 ms at the most, as each looks through all connections. Tests of memory, clients and descriptors pass.

--- a/src/bin/load-balancer/clients/accept.rs
+++ b/src/bin/load-balancer/clients/accept.rs
@@ -14,6 +14,8 @@
 
 /// Pause after an `accept` that failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// Least time between two connections that are closed for their memory.
+const RECLAIM_INTERVAL: Duration = Duration::from_millis(2);
 
 impl Clients {
     /// Accepts connections until [`Clients::stop_accepting`], during the drain after SIGTERM too: a request
@@ -26,11 +28,6 @@
             let accepted = tokio::select! {
                 biased;
                 () = self.stop_accept.notified() => return,
-                () = self.memory.shortage() => {
-                    self.close_for_memory();
-                    yield_now().await;
-                    continue;
-                }
                 accepted = listener.accept() => accepted,
             };
             match accepted {
@@ -157,6 +154,15 @@
             .is_some()
     }
 
+    /// Closes a connection whenever another one needs more memory and finds none, until the process ends.
+    pub async fn reclaim_memory(self: Rc<Self>) {
+        loop {
+            self.memory.shortage().await;
+            self.close_for_memory();
+            sleep(RECLAIM_INTERVAL).await;
+        }
+    }
+
     /// Closes a connection to free its memory: the one that has been sending the head of a request for longest, or else
     /// one that is idle.
     fn close_for_memory(&self) {
--- a/src/bin/load-balancer/startup/mod.rs
+++ b/src/bin/load-balancer/startup/mod.rs
@@ -75,6 +75,7 @@
         });
         spawn_local(event_loop.run(received));
         spawn_local(clients.clone().accept(sockets.listener));
+        spawn_local(clients.clone().reclaim_memory());
         log::line(format_args!(
             "{} listens on {}",
             config.name, sockets.listen_address
