Node: requests reserve the memory of a long response only when they have one

Cause: each request reserved 28 kB for a long response, most of which never came, and each connection that had sent over 4 kB 20 kB more, where 12 are held.

Change: a long response reserves its buffers when it begins, and is passed on part by part where it finds none. The memory is six tenths of what the program leaves again.

Long responses beside a crowd that uses the memory are whole or refused (new test).

--- a/src/bin/load-balancer/body/response.rs
+++ b/src/bin/load-balancer/body/response.rs
@@ -14,6 +14,7 @@
 use super::memory::{BodyMemory, Purpose};
 use super::queue::{BodyQueue, BufferedBody};
 use super::{BodyError, MAX_BUFFERED_BYTES};
+use crate::connection::ConnectionState;
 use crate::memory_budget::MemoryReservation;
 use crate::metrics::RequestOutcome;
 use crate::write_stall::STALL_TIMEOUT;
@@ -71,6 +72,7 @@
         length,
         timer: Box::pin(sleep(STALL_TIMEOUT)),
         is_waiting: false,
+        part_by_part: None,
         on_end: None,
     })))
 }
@@ -89,6 +91,8 @@
     timer: Pin<Box<Sleep>>,
     /// Whether `timer` is set: the node waits for the server.
     is_waiting: bool,
+    /// The client's connection, where each part waits until it has taken the last one.
+    part_by_part: Option<Rc<ConnectionState>>,
     on_end: Option<OnEnd>,
 }
 
@@ -104,6 +108,11 @@
         }));
     }
 
+    /// Passes on each part only when the connection has taken the last one, so that the response holds little memory.
+    pub fn pass_on_part_by_part(&mut self, connection: Rc<ConnectionState>) {
+        self.part_by_part = Some(connection);
+    }
+
     fn end(&mut self, outcome: RequestOutcome) {
         if let Some(callback) = self.on_end.take() {
             callback(outcome);
@@ -111,6 +120,17 @@
     }
 
     fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        if let Some(connection) = &self.part_by_part {
+            ready!(connection.poll_part_taken(cx));
+        }
+        let part = ready!(self.poll_next(cx));
+        if let Some(connection) = &self.part_by_part {
+            connection.part_handed_over();
+        }
+        Poll::Ready(part)
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         if let Some(part) = self.received.pop() {
             return Poll::Ready(Some(Ok(part)));
         }
--- a/src/bin/load-balancer/clients.rs
+++ b/src/bin/load-balancer/clients.rs
@@ -464,9 +464,6 @@
                 .for_each(|upload| drop(spawn_local(upload.discard())));
             return Ok(self.rejection(Some(OVERLOAD_RETRY_AFTER)));
         }
-        if let Some(memory) = self.memory.reserve_response() {
-            client_connection.hold_until_flushed(memory);
-        }
         let key = head.uri.query().and_then(routing_key);
         let is_retry = text("x-resent").ok().flatten() == Some("1");
         let cost = text("x-estimate")
@@ -525,6 +522,10 @@
                 headers,
                 body: ResponseBody::Streamed(mut streamed),
             }) => {
+                match self.memory.reserve_response() {
+                    Some(memory) => client_connection.hold_until_flushed(memory),
+                    None => streamed.pass_on_part_by_part(client_connection.clone()),
+                }
                 let client_connection = client_connection.clone();
                 streamed.on_end(move |outcome| {
                     if outcome != RequestOutcome::Served {
--- a/src/bin/load-balancer/connection.rs
+++ b/src/bin/load-balancer/connection.rs
@@ -5,7 +5,7 @@
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -57,6 +57,10 @@
     long_input: RefCell<Option<MemoryReservation>>,
     /// What responses take until the client has taken them.
     unflushed: RefCell<Vec<MemoryReservation>>,
+    /// Whether a part of a response was handed over and has not been taken by the socket.
+    has_unflushed_part: Cell<bool>,
+    /// Wakes the response that waits until its last part was taken.
+    flush_waker: RefCell<Option<Waker>>,
     /// Notified when the connection is to close because its room is needed.
     pub close_requested: Notify,
 }
@@ -77,6 +81,8 @@
             memory,
             long_input: RefCell::default(),
             unflushed: RefCell::default(),
+            has_unflushed_part: Cell::new(false),
+            flush_waker: RefCell::default(),
             close_requested: Notify::new(),
         }
     }
@@ -139,8 +145,26 @@
         self.unflushed.borrow_mut().push(memory);
     }
 
+    /// Waits until the socket has taken the part that was handed over last.
+    pub fn poll_part_taken(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if !self.has_unflushed_part.get() {
+            return Poll::Ready(());
+        }
+        self.flush_waker.replace(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+
+    /// A part of a response is handed over.
+    pub fn part_handed_over(&self) {
+        self.has_unflushed_part.set(true);
+    }
+
     /// All that was written has been taken by the socket.
     fn flushed(&self) {
+        self.has_unflushed_part.set(false);
+        if let Some(waker) = self.flush_waker.take() {
+            waker.wake();
+        }
         if self.idle_since.get().is_some() {
             self.unflushed.take();
         }
--- a/src/bin/load-balancer/startup/shared_parts.rs
+++ b/src/bin/load-balancer/startup/shared_parts.rs
@@ -24,9 +24,9 @@
 const BODY_MEMORY_DIVISOR: usize = 6;
 /// Memory of the program itself, with the list of servers, rejected connections and files, in bytes.
 const PROGRAM_BYTES: usize = 7 << 20;
-/// Connections and requests may take what the program leaves divided by this. The rest is for bodies, and for what the
-/// allocator can't use again.
-const CONNECTION_MEMORY_DIVISOR: usize = 2;
+/// Connections and requests may take these parts in ten of what the program leaves. The rest is for bodies, and for what
+/// the allocator can't use again.
+const CONNECTION_MEMORY_TENTHS: usize = 6;
 /// Least memory of connections and requests, in bytes, for limits below those of the platform.
 const MIN_CONNECTION_MEMORY: usize = 4 << 20;
 /// Processes of a node that may run at the same time where it inherits its listener: they share the memory limit.
@@ -127,7 +127,7 @@
 /// The memory of connections and requests in a process with this memory limit, in bytes.
 fn connection_memory(memory_limit: usize) -> usize {
     let left = memory_limit.saturating_sub(PROGRAM_BYTES);
-    (left / CONNECTION_MEMORY_DIVISOR).max(MIN_CONNECTION_MEMORY)
+    (left / 10 * CONNECTION_MEMORY_TENTHS).max(MIN_CONNECTION_MEMORY)
 }
 
 /// Divides the file descriptors that the configuration and the system allow among the components.
--- a/tests/node/memory_limit.rs
+++ b/tests/node/memory_limit.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use super::crowd::{start_server, Crowd, CrowdClient, AFTER_CROWD, KINDS};
+use super::crowd::{start_server, Crowd, CrowdClient, AFTER_CROWD, KINDS, LONG_RESPONSE};
 use super::*;
 
 /// The least memory limit that the platform sets, in megabytes.
@@ -170,6 +170,40 @@
     assert_within_limit(&KINDS);
 }
 
+// Guards against a long response that is cut off or stands still where no memory is left for it.
+#[test]
+fn long_responses_beside_a_crowd_are_whole_or_refused() {
+    let servers: Vec<_> = (0..SERVERS)
+        .map(|n| member_at(&format!("s-{n}"), start_server()))
+        .collect();
+    let fixture = NodeFixture::configured(0, &[], |config| {
+        config["limits"] = json!({"sockets": SOCKETS, "memory_mb": MEMORY_LIMIT_MB});
+        config["known"]["members"] = json!(servers);
+    });
+    let addr = fixture.addr;
+    let kinds = [CrowdClient::UnansweredManyFields, CrowdClient::SlowReader];
+    let crowd = Crowd {
+        clients: 300,
+        ..Crowd::of(&kinds)
+    };
+    let time = crowd.time;
+    let running = thread::spawn(move || crowd.run(addr));
+    let (start, mut whole) = (Instant::now(), 0);
+    while start.elapsed() < time {
+        let response = exchange_with(addr, &request("look", &new_id(), 60_000));
+        let response = response.expect("cut off");
+        match response.status() {
+            200 => {
+                assert_eq!(response.body.len(), LONG_RESPONSE);
+                whole += 1;
+            }
+            status => assert_eq!(status, 503),
+        }
+    }
+    running.join().unwrap();
+    assert!(whole > 0, "none was passed on");
+}
+
 // Guards against limits that hold for some kinds, numbers and limits of the page and not for others.
 #[test]
 fn no_crowd_up_to_the_limits_of_the_page_passes_the_memory_limit() {
