Node: a request whose last bytes the HTTP library holds is answered in its time

Cause: a request was given up only while bytes lay unread in the socket. The HTTP library reads one part ahead of the node. Where a body ends within that part none are unread, and its time never ended.

Change: the node gives the request up whether or not any are unread; the bound by the declared length stays.

--- a/src/bin/load-balancer/body/upload.rs
+++ b/src/bin/load-balancer/body/upload.rs
@@ -145,11 +145,11 @@
         let _ = taken.await;
     }
 
-    /// Whether the client may have written the whole body, although its end has not been read.
+    /// Whether the client may have written the whole body, although its end has not been received. It need not be unread in the
+    /// socket: the HTTP library may hold it.
     fn may_be_written(&self) -> bool {
-        let unread_bytes = self.arrival.unread_bytes();
-        let seen_bytes = self.received_bytes() + unread_bytes + MAX_UNSENT_BYTES;
-        unread_bytes > 0 && self.length.is_none_or(|length| length <= seen_bytes)
+        let seen_bytes = self.received_bytes() + self.arrival.unread_bytes() + MAX_UNSENT_BYTES;
+        self.length.is_none_or(|length| length <= seen_bytes)
     }
 
     /// When a request whose end may lie unread is given up.
--- a/tests/node/upload_sweep.rs
+++ b/tests/node/upload_sweep.rs
@@ -12,7 +12,7 @@
 /// A final answer later than this after the request's time is a lost request.
 const LATEST_ANSWER: Duration = Duration::from_millis(500);
 /// The longest wait of a client, beside the time that its request may take.
-const CLIENT_PATIENCE: Duration = Duration::from_secs(4);
+const CLIENT_MAX_WAIT: Duration = Duration::from_secs(4);
 /// The longest time that a client writes.
 const MAX_WRITING_TIME: Duration = Duration::from_secs(8);
 /// Interval between two reads of a server, and between two writes of a slow client.
@@ -98,11 +98,11 @@
         let stream = fixture.connect();
         let mut output = stream.try_clone().unwrap();
         let writer = thread::spawn(move || self.write(&mut output).ok().map(|()| Instant::now()));
-        let (started_at, patience) = (Instant::now(), CLIENT_PATIENCE + MAX_WRITING_TIME);
-        stream.set_read_timeout(Some(patience)).unwrap();
+        let (started_at, max_wait) = (Instant::now(), CLIENT_MAX_WAIT + MAX_WRITING_TIME);
+        stream.set_read_timeout(Some(max_wait)).unwrap();
         let response = Message::read(&mut BufReader::new(stream.try_clone().unwrap()));
         let answer = response.map(|response| (response.status(), Instant::now()));
-        let gave_up_at = (started_at.elapsed() >= patience).then(Instant::now);
+        let gave_up_at = (started_at.elapsed() >= max_wait).then(Instant::now);
         let _ = stream.shutdown(Shutdown::Both);
         Observation {
             complete_at: writer.join().unwrap(),
@@ -281,6 +281,23 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+// Guards against the same where the last bytes have been read by the HTTP library and not been received from it: none are
+// unread, and the time never began. The lengths are close to what the node receives ahead.
+#[test]
+fn a_request_whose_end_is_in_the_read_buffer_is_answered_in_its_time() {
+    let uploads: Vec<Upload> = (0..24)
+        .map(|step| Upload {
+            length: (2 << 20) + 40_000 + step * 4_000,
+            timeout_ms: 800,
+            server: ServerPace::StopsAfter(200),
+            client_rate: Some(8 << 20),
+            ..STUCK
+        })
+        .collect();
+    let faults = run_all(&uploads);
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
 // Guards against the same for shorter bodies, where other uploads use the memory for bodies.
 #[test]
 fn a_request_beside_uploads_that_use_the_memory_is_answered_in_its_time() {
