--- a/tests/node/crowd.rs
+++ b/tests/node/crowd.rs
@@ -16,7 +16,7 @@
 /// Id of a request that is answered at once.
 pub(super) const AFTER_CROWD: &str = "after";
 /// How long the servers hold a connection open.
-const SERVER_PATIENCE: Duration = Duration::from_secs(60);
+const SERVER_HOLD_TIME: Duration = Duration::from_secs(60);
 
 /// What a client of the crowd sends and how it reads.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -260,5 +260,5 @@
             return;
         }
     }
-    thread::sleep(SERVER_PATIENCE);
+    thread::sleep(SERVER_HOLD_TIME);
 }
--- a/tests/node/memory_limit.rs
+++ b/tests/node/memory_limit.rs
@@ -67,6 +67,14 @@
     lengths.map(|bytes| bytes.div_ceil(1024)).sum()
 }
 
+/// Starts the servers of a crowd. Returns a list of this length, whose entries share them.
+fn start_servers(listed: usize) -> Vec<serde_json::Value> {
+    let addresses: Vec<_> = (0..SERVERS).map(|_| start_server()).collect();
+    (0..listed)
+        .map(|n| member_at(&format!("s-{n}"), addresses[n % SERVERS]))
+        .collect()
+}
+
 /// A play of crowds, one after the other, at one process.
 struct Play {
     memory_mb: u64,
@@ -90,10 +98,7 @@
     /// Plays the crowds. Returns what went wrong.
     fn run(&self) -> Option<String> {
         let limits = json!({"sockets": self.sockets, "memory_mb": self.memory_mb});
-        let addresses: Vec<_> = (0..SERVERS).map(|_| start_server()).collect();
-        let servers: Vec<_> = (0..self.listed)
-            .map(|n| member_at(&format!("s-{n}"), addresses[n % SERVERS]))
-            .collect();
+        let servers = start_servers(self.listed);
         let folder = tempfile::tempdir().unwrap();
         let env = [("TMPDIR", folder.path().to_str().unwrap())];
         let mut fixture = NodeFixture::configured(0, &env, |config| {
@@ -173,9 +178,7 @@
 // Guards against a long response that is cut off or stands still where no memory is left for it.
 #[test]
 fn long_responses_beside_a_crowd_are_whole_or_refused() {
-    let servers: Vec<_> = (0..SERVERS)
-        .map(|n| member_at(&format!("s-{n}"), start_server()))
-        .collect();
+    let servers = start_servers(SERVERS);
     let fixture = NodeFixture::configured(0, &[], |config| {
         config["limits"] = json!({"sockets": SOCKETS, "memory_mb": MEMORY_LIMIT_MB});
         config["known"]["members"] = json!(servers);
@@ -214,9 +217,7 @@
 
 /// Crowds at two processes that accept from the same listener, as in an upgrade. The limit holds for both together.
 fn peak_of_two_processes(crowds: &[Crowd]) -> u64 {
-    let servers: Vec<_> = (0..SERVERS)
-        .map(|n| member_at(&format!("s-{n}"), start_server()))
-        .collect();
+    let servers = start_servers(SERVERS);
     let fixture = NodeFixture::configured(0, &[], |config| {
         config["limits"] = json!({"sockets": SOCKETS, "memory_mb": MEMORY_LIMIT_MB});
         config["known"]["members"] = json!(servers);
