Review case 7: a keyed request is repeated after its window when a connection is late

Cause, as far as known: the window is looked at when a repeat is decided and not after the wait for its connection. Change: the case with its claim.

--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -9,6 +9,8 @@
 
 #[path = "../6/case.rs"]
 mod case_6;
+#[path = "../7/case.rs"]
+mod case_7;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -40,6 +42,7 @@
     record.say(format!("case {number}, trouble: {trouble}"));
     let case = match number {
         "6" => case_6::run,
+        "7" => case_7::run,
         _ => return Err(format!("no case {number}")),
     };
     // A panic of the case is no verdict either; the processes end as their owners are dropped.
