Review case 8: the end of an old cordon undoes a new one that was agreed before

Cause, as far as known: what ends an expired cordon names the server alone, not the cordon, and is proposed in each tick; what waits for a paused leader is applied behind the new cordon. Change: the case with its claim.

--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -11,6 +11,8 @@
 mod case_6;
 #[path = "../7/case.rs"]
 mod case_7;
+#[path = "../8/case.rs"]
+mod case_8;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -43,6 +45,7 @@
     let case = match number {
         "6" => case_6::run,
         "7" => case_7::run,
+        "8" => case_8::run,
         _ => return Err(format!("no case {number}")),
     };
     // A panic of the case is no verdict either; the processes end as their owners are dropped.
