Review case 9: an agent that is killed and started again ends a node that was drained

Cause, as far as known: an adopted node that says no passes for one that never got ready, and is ended after 10 s. Change: the case with its claim.

--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -13,6 +13,8 @@
 mod case_7;
 #[path = "../8/case.rs"]
 mod case_8;
+#[path = "../9/case.rs"]
+mod case_9;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -46,6 +48,7 @@
         "6" => case_6::run,
         "7" => case_7::run,
         "8" => case_8::run,
+        "9" => case_9::run,
         _ => return Err(format!("no case {number}")),
     };
     // A panic of the case is no verdict either; the processes end as their owners are dropped.
