Review case 10: the end of the fleet's cordon ends a cordon that was set at the node

Cause, as far as known: the node's file keeps one list, and a server that both the node's and the fleet's operators cordoned counts as the fleet's alone.

--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -7,6 +7,8 @@
 mod record;
 mod stand_ins;
 
+#[path = "../10/case.rs"]
+mod case_10;
 #[path = "../6/case.rs"]
 mod case_6;
 #[path = "../7/case.rs"]
@@ -49,6 +51,7 @@
         "7" => case_7::run,
         "8" => case_8::run,
         "9" => case_9::run,
+        "10" => case_10::run,
         _ => return Err(format!("no case {number}")),
     };
     // A panic of the case is no verdict either; the processes end as their owners are dropped.
