--- a/review/common-2/agents.rs
+++ b/review/common-2/agents.rs
@@ -147,15 +147,6 @@
         }
     }
 
-    /// Kills the agent outright, which leaves its node.
-    pub fn kill(&mut self) {
-        self.node_pid();
-        self.signal(SIGKILL);
-        if let Some(mut child) = self.child.take() {
-            let _ = child.wait();
-        }
-    }
-
     /// The process of the agent's node, by the agent's file.
     pub fn node_pid(&mut self) -> Option<u32> {
         let text = fs::read_to_string(self.folder.join("state/node.pid")).ok()?;
@@ -209,12 +200,6 @@
         text_after(&report, &format!("\"duty\":\"{role}\",\"holder\":\""))
     }
 
-    /// Whether `/-/ready` at the clients' address of the node says yes; `None` without an answer.
-    pub fn node_is_ready(&self) -> Option<bool> {
-        let answer = http::call(self.node_clients, "GET", "/-/ready", Duration::from_secs(1));
-        answer.ok().map(|answer| answer.status() == 200)
-    }
-
     /// Whether the node's own operators' address says that it serves.
     pub fn node_serves(&self) -> bool {
         let answer = http::call(
