Review: end the nodes that an agent has only just started

Cause: a play of case 6 left a node running: its agent was ended before it had written the node's number to its file, by which the cases found the nodes that they had to end. Change: the cases end each process that has the mark of their agent's folder in its environment, as agents find their nodes.

--- a/review/common-2/agents.rs
+++ b/review/common-2/agents.rs
@@ -5,10 +5,11 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::thread;
 use std::time::Duration;
 
 use crate::http::{self, Message};
-use crate::processes::{free_addr, is_node, run_command, signal, SIGCONT, SIGKILL};
+use crate::processes::{free_addr, processes_with, run_command, signal, SIGCONT, SIGKILL};
 use crate::record::Record;
 
 /// The configuration of a node of a small deployment, with the settings of the wire page's example.
@@ -49,8 +50,6 @@
     pub node_clients: SocketAddr,
     pub node_operators: SocketAddr,
     child: Option<Child>,
-    /// Nodes that were seen to run, which are ended with the case.
-    nodes: Vec<u32>,
     record: Record,
 }
 
@@ -66,7 +65,6 @@
             node_clients: free_addr(),
             node_operators: free_addr(),
             child: None,
-            nodes: Vec::new(),
             record: record.clone(),
         }
     }
@@ -148,15 +146,11 @@
     }
 
     /// The process of the agent's node, by the agent's file.
-    pub fn node_pid(&mut self) -> Option<u32> {
+    pub fn node_pid(&self) -> Option<u32> {
         let text = fs::read_to_string(self.folder.join("state/node.pid")).ok()?;
         let digits = text.split("\"pid\":").nth(1)?;
         let end = digits.find(|c: char| !c.is_ascii_digit())?;
-        let pid = digits[..end].parse().ok()?;
-        if !self.nodes.contains(&pid) {
-            self.nodes.push(pid);
-        }
-        Some(pid)
+        digits[..end].parse().ok()
     }
 
     /// An operator's call to the agent.
@@ -213,19 +207,30 @@
 }
 
 impl Drop for Agent {
+    /// Ends the agent and each node that it has started, also one that it has only just started.
     fn drop(&mut self) {
-        self.node_pid();
         if let Some(child) = &mut self.child {
             signal(child.id(), SIGCONT);
             let _ = child.kill();
             let _ = child.wait();
         }
-        self.node_pid();
-        for &node in &self.nodes {
-            if is_node(node) {
+        let Ok(state) = self.folder.join("state").canonicalize() else {
+            return;
+        };
+        let mark = format!("BALANCER_AGENT_STATE={}", state.display());
+        let mut ended = 0;
+        // A process that the agent had begun to start gets the mark a moment later.
+        for _ in 0..20 {
+            for node in processes_with(&mark) {
                 signal(node, SIGKILL);
+                ended += 1;
             }
+            thread::sleep(Duration::from_millis(20));
         }
+        self.record.line(format!(
+            "signal {SIGKILL} sent {ended} times to nodes of {}",
+            self.name
+        ));
     }
 }
 
--- a/review/common-2/processes.rs
+++ b/review/common-2/processes.rs
@@ -51,9 +51,18 @@
     }
 }
 
-/// Whether a process is a node: its number may have been given to another process.
-pub fn is_node(pid: u32) -> bool {
-    fs::read_to_string(format!("/proc/{pid}/comm")).is_ok_and(|name| name.trim() == "load-balancer")
+/// The processes that have this line in their environment.
+pub fn processes_with(environment_line: &str) -> Vec<u32> {
+    let has_line = |pid: &u32| {
+        let environment = fs::read(format!("/proc/{pid}/environ")).unwrap_or_default();
+        let mut lines = environment.split(|byte| *byte == 0);
+        lines.any(|line| line == environment_line.as_bytes())
+    };
+    let entries = fs::read_dir("/proc").into_iter().flatten().flatten();
+    entries
+        .filter_map(|entry| entry.file_name().to_str()?.parse().ok())
+        .filter(has_line)
+        .collect()
 }
 
 /// The command `run` of the deploy file. Its path becomes absolute, as a node may have another working folder.
