Node: a keyed request is not sent again after its deduplication window

Cause: the balancer looks at the window when it decides on the repeat, with a margin of a tenth. The repeat then waits for its connection, up to the dial timeout, and neither the action nor the host had the limit: after the wait the server, the client and the deadline were looked at again, the window was not.

Change: `Action::Send` carries `write_within`, counted to the last byte. The host gives up the wait for a connection at that time, looks at it in the same step as each write, and reports the new outcome `Withheld`: it did not run, says nothing about the server, takes nothing from the retry budget. The metrics and the log show it as `withheld`. The first byte is no longer written after the attempt's timeout either, by the same check.

The host of `tests/rules` now demands the limit of each repeat (stricter).

--- a/src/api.rs
+++ b/src/api.rs
@@ -320,13 +320,17 @@
     /// The host did not send the request, or not all of it. It did not run, and nothing follows about the
     /// server.
     NotSent,
+    /// The host did not send the request, or not all of it, as what the decision rested on no longer held:
+    /// the limit of [`Action::Send`] on writing it was over, or another process had taken the server's
+    /// place. It did not run, and nothing follows about the server.
+    Withheld,
 }
 
 impl Outcome {
     /// Whether the request may have run. `overloaded_may_have_run` is the setting of that name.
     pub fn may_have_run(self, overloaded_may_have_run: bool) -> bool {
         match self {
-            Outcome::ConnectFailed | Outcome::NotSent => false,
+            Outcome::ConnectFailed | Outcome::NotSent | Outcome::Withheld => false,
             Outcome::Overloaded => overloaded_may_have_run,
             _ => true,
         }
@@ -433,6 +437,9 @@
         server: ServerId,
         /// Longest duration of the attempt, in microseconds.
         timeout: Micros,
+        /// Longest time until the last byte of the request is written, in microseconds; `None` if only the
+        /// timeout limits it. The host reports [`Outcome::Withheld`] for an attempt that would be later.
+        write_within: Option<Micros>,
     },
     /// Cancel an attempt. Sent only where [`Settings::may_cancel`] allows it.
     Cancel {
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -288,6 +288,7 @@
         let class = request.class;
         let mean = self.latencies.mean(class);
         let timeout = retry::attempt_timeout(&self.settings, request, mean, self.now);
+        let deduplication_end = retry::deduplication_end(&self.settings, request);
         let server = &mut self.servers[index];
         server.ejection.begin_trial();
         server.class_ejections[class.0].begin_trial();
@@ -297,6 +298,7 @@
             id,
             server: server.id(),
             timeout,
+            write_within: deduplication_end.map(|end| end.saturating_sub(self.now)),
         });
         let expected = self.latencies.expected(class, request.cost);
         let attempt = Attempt::new(server.endpoint.clone(), self.now, expected);
@@ -387,11 +389,11 @@
     }
 
     /// Retries a request whose last attempt ended in `outcome`, or gives its final answer if the retry budget
-    /// is empty. A failed connection takes nothing from the budget.
+    /// is empty. An attempt that cost the servers no work takes nothing from the budget.
     fn retry_or_answer(&mut self, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
         let may_retry = match outcome {
             Outcome::NotSent => false,
-            Outcome::ConnectFailed => true,
+            Outcome::ConnectFailed | Outcome::Withheld => true,
             _ => self.retry_budget.try_take(),
         };
         if may_retry {
--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -4,7 +4,8 @@
 //! The functions here alone decide whether the balancer may retry or reject a request:
 //! - An idempotent request may always be retried.
 //! - A request with an idempotency key may be retried at the servers that deduplicate it (its scope), and
-//!   within the time for which they do, counted from the first attempt that may have run.
+//!   within the time for which they do, counted from the first attempt that may have run. The last byte of
+//!   the retry must be written within that time: a retry that is decided in time may wait for its connection.
 //! - A non-idempotent request may be retried, or rejected, only while no attempt may have run.
 //!
 //! The node's connection pool is separate from this. For an attempt of which nothing has been written, it
@@ -99,15 +100,24 @@
     if past_deadline || no_attempts_left || forbidden_hedge {
         return false;
     }
-    let Some(first) = request.first_that_may_have_run() else {
-        return true;
-    };
+    let may_have_run = request.first_that_may_have_run().is_some();
+    match settings.classes[request.class.0].idempotency {
+        Idempotency::NonIdempotent => !may_have_run,
+        Idempotency::Idempotent | Idempotency::IdempotencyKey { .. } => {
+            deduplication_end(settings, request).is_none_or(|end| now < end)
+        }
+    }
+}
+
+/// Until when the request may be written to a server again; `None` without a limit, as it has not run or
+/// needs no deduplication.
+pub(super) fn deduplication_end(settings: &Settings, request: &PendingRequest) -> Option<Micros> {
+    let first = request.first_that_may_have_run()?;
     match settings.classes[request.class.0].idempotency {
-        Idempotency::Idempotent => true,
-        Idempotency::NonIdempotent => false,
         Idempotency::IdempotencyKey { ttl, .. } => {
-            now < first.sent_at + ttl - ttl / TTL_MARGIN_DIVISOR
+            Some(first.sent_at + ttl - ttl / TTL_MARGIN_DIVISOR)
         }
+        Idempotency::Idempotent | Idempotency::NonIdempotent => None,
     }
 }
 
--- a/src/balancer/retry/tests.rs
+++ b/src/balancer/retry/tests.rs
@@ -80,6 +80,24 @@
     assert!(!may_send(&settings, &request, SECOND * 9 / 10));
 }
 
+// Guards against a keyed request that runs twice, as its retry waits for a connection: the decision carries
+// the limit on writing it.
+#[test]
+fn a_retry_has_to_be_written_within_the_deduplication_time() {
+    let cases = [
+        (with_key(DedupScope::All), Some(SECOND * 9 / 10)),
+        (Idempotency::Idempotent, None),
+        (Idempotency::NonIdempotent, None),
+    ];
+    for (idempotency, end) in cases {
+        let settings = settings(idempotency);
+        let may_have_run = request(&settings, AttemptState::MayHaveRun);
+        assert_eq!(deduplication_end(&settings, &may_have_run), end);
+        let never_ran = request(&settings, AttemptState::NeverRan);
+        assert_eq!(deduplication_end(&settings, &never_ran), None);
+    }
+}
+
 #[test]
 fn a_retry_stays_in_the_scope_of_the_first_attempt_that_may_have_run() {
     let settings = settings(with_key(DedupScope::Zone));
--- a/src/bin/load-balancer-sim/encode.rs
+++ b/src/bin/load-balancer-sim/encode.rs
@@ -15,6 +15,7 @@
             id,
             server,
             timeout,
+            ..
         } => writeln!(out, "DELIVER {} {} {timeout}", text(id), server.0),
         Action::Cancel { id, attempt } => writeln!(out, "CALL_OFF {} {attempt}", text(id)),
         Action::Reject { id, retry_after } => writeln!(out, "DECLINE {} {retry_after}", text(id)),
--- a/src/bin/load-balancer/event_loop/actions.rs
+++ b/src/bin/load-balancer/event_loop/actions.rs
@@ -9,10 +9,10 @@
 use tokio::time::Instant;
 
 use super::messages::{AttemptEnded, ClientResponse, HealthCheckEnded, Message, RequestNumber};
-use super::request_table::InFlightAttempt;
+use super::request_table::{InFlightAttempt, SendLimits};
 use super::timers::Timer;
 use super::EventLoop;
-use crate::servers::{AttemptDeadline, Servers, UpstreamRequest};
+use crate::servers::{AttemptLimits, Servers, UpstreamRequest};
 use crate::task::AbortOnDrop;
 
 impl EventLoop {
@@ -22,7 +22,14 @@
                 id,
                 server,
                 timeout,
-            } => self.send(RequestNumber::from_id(&id), server, timeout),
+                write_within,
+            } => {
+                let limits = SendLimits {
+                    timeout,
+                    write_within,
+                };
+                self.send(RequestNumber::from_id(&id), server, limits);
+            }
             Action::Cancel { id, attempt } => self.cancel(RequestNumber::from_id(&id), attempt),
             Action::Reject { id, retry_after } => {
                 let retry_after = (retry_after > 0).then(|| Duration::from_micros(retry_after));
@@ -64,8 +71,8 @@
         });
     }
 
-    /// Starts an attempt. An `attempt_timeout` of 0 sets no timeout besides the request's deadline.
-    fn send(&mut self, number: RequestNumber, server: ServerId, attempt_timeout: Micros) {
+    /// Starts an attempt.
+    fn send(&mut self, number: RequestNumber, server: ServerId, limits: SendLimits) {
         let now = Instant::now();
         let max_attempts = self.max_attempts;
         let pending = self.requests.get_mut(number);
@@ -77,7 +84,7 @@
             index: pending.attempts.len() as u32,
             server,
             upstream: pending.upstream.clone(),
-            deadline: pending.attempt_deadline(now, attempt_timeout),
+            limits: pending.attempt_limits(now, limits),
         };
         let task = attempt.spawn(self.servers.clone(), self.messages.clone());
         let in_flight = InFlightAttempt::new(server, now, task);
@@ -130,15 +137,14 @@
     index: u32,
     server: ServerId,
     upstream: Rc<UpstreamRequest>,
-    /// When the attempt times out; `None` while the request's body is still arriving.
-    deadline: Option<AttemptDeadline>,
+    limits: AttemptLimits,
 }
 
 impl Attempt {
     fn spawn(self, servers: Rc<Servers>, messages: mpsc::UnboundedSender<Message>) -> AbortOnDrop {
         AbortOnDrop::spawn(async move {
             let result = servers
-                .attempt(self.server, &self.upstream, self.deadline)
+                .attempt(self.server, &self.upstream, self.limits)
                 .await;
             let _ = messages.send(Message::AttemptEnded(AttemptEnded {
                 number: self.number,
--- a/src/bin/load-balancer/event_loop/request_table.rs
+++ b/src/bin/load-balancer/event_loop/request_table.rs
@@ -12,7 +12,7 @@
 use super::request_log::FailedAttempt;
 use super::timers::TimerKey;
 use crate::run_once::IdHash;
-use crate::servers::{AttemptDeadline, UpstreamRequest};
+use crate::servers::{AttemptDeadline, AttemptLimits, UpstreamRequest};
 use crate::task::AbortOnDrop;
 
 /// An attempt that has not ended. Dropping it aborts it and closes its connection.
@@ -35,6 +35,15 @@
     }
 }
 
+/// The limits that the balancer sets for an attempt, from its decision on.
+#[derive(Clone, Copy)]
+pub struct SendLimits {
+    /// Longest duration of the attempt; 0 if only the request's deadline limits it.
+    pub timeout: Micros,
+    /// Longest time until the last byte is written; `None` if only the deadlines limit it.
+    pub write_within: Option<Micros>,
+}
+
 /// A request that is not answered yet or still has attempts in flight.
 pub struct PendingRequest {
     /// When the event loop learned of the request.
@@ -73,19 +82,20 @@
             && self.deadline.is_none_or(|deadline| now < deadline)
     }
 
-    /// When an attempt that is sent at `now` times out; `None` while the request has no deadline. An
-    /// `attempt_timeout` of 0 sets no timeout besides the deadline.
-    pub fn attempt_deadline(
-        &self,
-        now: Instant,
-        attempt_timeout: Micros,
-    ) -> Option<AttemptDeadline> {
-        let request = self.deadline?;
-        let attempt = match attempt_timeout {
-            0 => request,
-            timeout => request.min(now + Duration::from_micros(timeout)),
+    /// The limits of an attempt that is decided at `now`. It has no deadline while the request has none.
+    pub fn attempt_limits(&self, now: Instant, limits: SendLimits) -> AttemptLimits {
+        let deadline_of = |request: Instant| {
+            let attempt = match limits.timeout {
+                0 => request,
+                timeout => request.min(now + Duration::from_micros(timeout)),
+            };
+            AttemptDeadline { attempt, request }
         };
-        Some(AttemptDeadline { attempt, request })
+        let write_within = limits.write_within.map(Duration::from_micros);
+        AttemptLimits {
+            deadline: self.deadline.map(deadline_of),
+            write_by: write_within.map(|write_within| now + write_within),
+        }
     }
 }
 
--- a/src/bin/load-balancer/metrics/mod.rs
+++ b/src/bin/load-balancer/metrics/mod.rs
@@ -21,7 +21,7 @@
 pub const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Names of the attempt outcomes in the log, in the order of [`outcome_index`].
-const OUTCOME_NAMES: [&str; 8] = [
+const OUTCOME_NAMES: [&str; 9] = [
     "ok",
     "error",
     "full",
@@ -30,6 +30,7 @@
     "reset",
     "cancelled",
     "moot",
+    "withheld",
 ];
 
 /// A monotonic counter since the start of the process.
@@ -216,6 +217,7 @@
         Outcome::Reset => 5,
         Outcome::Cancelled => 6,
         Outcome::NotSent => 7,
+        Outcome::Withheld => 8,
     }
 }
 
--- a/src/bin/load-balancer/servers.rs
+++ b/src/bin/load-balancer/servers.rs
@@ -28,7 +28,7 @@
 mod exchange;
 mod pool;
 
-pub use attempt_clock::{AttemptClock, AttemptDeadline};
+pub use attempt_clock::{AttemptClock, AttemptDeadline, AttemptLimits};
 use exchange::{exchange, parse_load_report, response_outcome, Exchange};
 use pool::{PooledConnection, ServerConnectionRoom};
 
@@ -336,16 +336,16 @@
 
     /// Sends a request and returns how the attempt ended. Dropping the future closes the connection.
     ///
-    /// The attempt times out at `deadline` (see [`AttemptClock`]). Without a deadline, the request's body is still arriving, and the attempt
+    /// The attempt times out at its deadline (see [`AttemptClock`]). Without a deadline, the request's body is still arriving, and the attempt
     /// times out at the deadline that the request has once its body is complete. At any time it times out if the server
     /// has stopped reading the request.
     pub async fn attempt(
         self: &Rc<Self>,
         server: ServerId,
         request: &UpstreamRequest,
-        deadline: Option<AttemptDeadline>,
+        limits: impl Into<AttemptLimits>,
     ) -> UpstreamResult {
-        self.attempt_with_room(server, request, deadline, None)
+        self.attempt_with_room(server, request, limits.into(), None)
             .await
     }
 
@@ -354,12 +354,12 @@
         self: &Rc<Self>,
         server: ServerId,
         request: &UpstreamRequest,
-        deadline: Option<AttemptDeadline>,
+        limits: AttemptLimits,
         room: Option<ServerConnectionRoom>,
     ) -> UpstreamResult {
-        let clock = AttemptClock::new(deadline);
+        let clock = AttemptClock::new(limits);
         let expired = async {
-            match (&request.body, deadline) {
+            match (&request.body, limits.deadline) {
                 (Payload::Streaming(upload), None) => upload.response_timed_out().await,
                 _ => clock.timed_out().await,
             }
@@ -399,7 +399,7 @@
             let ready = tokio::select! {
                 biased;
                 () = request.client.disconnected() => return Outcome::NotSent.into(),
-                ready = self.ready_connection(server, clock.attempt_deadline(), &mut room) => ready,
+                ready = self.ready_connection(server, clock, &mut room) => ready,
             };
             let ReadyConnection {
                 mut connection,
@@ -422,6 +422,8 @@
                 Exchange::Unsent if connection.progress.has_stalled() => {
                     return Outcome::Timeout.into()
                 }
+                // The time to write ended after the connection was ready.
+                Exchange::Unsent if !clock.may_begin() => return Outcome::Withheld.into(),
                 // The server may have closed a reused connection, and one new connection may break by chance. If a
                 // second new one breaks, the attempt counts as the server's failure.
                 Exchange::Unsent if reused || !std::mem::replace(&mut reconnected, true) => {
@@ -452,18 +454,25 @@
     /// # Errors
     ///
     /// `ConnectFailed` if no connection is established in time, or if the server must receive no new request;
-    /// `NotSent` if the node has no room for a connection, which says nothing about the server.
+    /// `Withheld` if it would come too late for the request, and `NotSent` if the node has no room for a connection: both
+    /// say nothing about the server.
     async fn ready_connection(
         &self,
         server: ServerId,
-        deadline: Option<Instant>,
+        clock: &AttemptClock,
         room: &mut Option<ServerConnectionRoom>,
     ) -> Result<ReadyConnection, Outcome> {
+        let connect_deadline = || {
+            let connect_deadline = Instant::now() + self.settings().connect_timeout;
+            let ready_by = clock.ready_by();
+            ready_by.map_or(connect_deadline, |ready_by| ready_by.min(connect_deadline))
+        };
+        let not_connected = || match clock.is_write_limit_over() {
+            true => Outcome::Withheld,
+            false => Outcome::ConnectFailed,
+        };
         loop {
             let (addr, epoch) = self.address(server).ok_or(Outcome::ConnectFailed)?;
-            let connect_deadline = Instant::now() + self.settings().connect_timeout;
-            let connect_deadline =
-                deadline.map_or(connect_deadline, |deadline| deadline.min(connect_deadline));
             let (mut connection, reused) = match self.take_idle_connection(server) {
                 Some(connection) => {
                     // The server may have closed the connection without its task having read that yet, so the
@@ -477,28 +486,25 @@
                         Some(room) => room,
                         None => self.room_for_connection().await.ok_or(Outcome::NotSent)?,
                     };
-                    match timeout_at(connect_deadline, self.connect(addr, epoch, room)).await {
+                    match timeout_at(connect_deadline(), self.connect(addr, epoch, room)).await {
                         Ok(Ok(connection)) => (connection, false),
-                        _ => return Err(Outcome::ConnectFailed),
+                        _ => return Err(not_connected()),
                     }
                 }
             };
-            let ready_deadline = Instant::now() + self.settings().connect_timeout;
-            let ready_deadline =
-                deadline.map_or(ready_deadline, |deadline| deadline.min(ready_deadline));
             if !matches!(
-                timeout_at(ready_deadline, connection.sender.ready()).await,
+                timeout_at(connect_deadline(), connection.sender.ready()).await,
                 Ok(Ok(()))
             ) {
                 if reused {
                     continue;
                 }
-                return Err(Outcome::ConnectFailed);
+                return Err(not_connected());
             }
             // The endpoint list may have changed during the wait.
             match self.address(server) {
                 Some((_, epoch)) if epoch != connection.epoch => continue,
-                Some(_) if deadline.is_none_or(|deadline| Instant::now() < deadline) => {
+                Some(_) if clock.may_begin() => {
                     return Ok(ReadyConnection {
                         connection,
                         addr,
@@ -507,7 +513,7 @@
                 }
                 _ => {
                     self.return_to_pool(server, connection);
-                    return Err(Outcome::ConnectFailed);
+                    return Err(not_connected());
                 }
             }
         }
@@ -565,7 +571,7 @@
         self.attempt_with_room(
             server,
             &request,
-            Some(AttemptDeadline::at(deadline)),
+            Some(AttemptDeadline::at(deadline)).into(),
             Some(room),
         )
         .await
--- a/src/bin/load-balancer/servers/attempt_clock.rs
+++ b/src/bin/load-balancer/servers/attempt_clock.rs
@@ -1,4 +1,4 @@
-//! When an attempt times out.
+//! When an attempt times out, and until when its request may be written.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -29,11 +29,28 @@
     }
 }
 
-/// The deadline of an attempt, and what of its response has come.
+/// What limits an attempt from its decision on.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AttemptLimits {
+    /// `None` while the request's body is still arriving.
+    pub deadline: Option<AttemptDeadline>,
+    /// When the last byte of the request must have been written; `None` if only the deadline limits it.
+    pub write_by: Option<Instant>,
+}
+
+impl From<Option<AttemptDeadline>> for AttemptLimits {
+    fn from(deadline: Option<AttemptDeadline>) -> Self {
+        AttemptLimits {
+            deadline,
+            write_by: None,
+        }
+    }
+}
+
+/// The limits of an attempt, and what of its response has come.
 #[derive(Default)]
 pub struct AttemptClock {
-    /// `None` while the request's body is still arriving.
-    deadline: Option<AttemptDeadline>,
+    limits: AttemptLimits,
     /// When the last bytes from the server were read.
     last_read_at: Cell<Option<Instant>>,
     /// Whether the whole head has been received.
@@ -41,17 +58,35 @@
 }
 
 impl AttemptClock {
-    /// The clock of an attempt with this deadline.
-    pub fn new(deadline: Option<AttemptDeadline>) -> Rc<Self> {
+    /// The clock of an attempt with these limits.
+    pub fn new(limits: impl Into<AttemptLimits>) -> Rc<Self> {
         Rc::new(AttemptClock {
-            deadline,
+            limits: limits.into(),
             ..AttemptClock::default()
         })
     }
 
     /// When the attempt times out if its response has not begun; `None` without a deadline.
     pub fn attempt_deadline(&self) -> Option<Instant> {
-        self.deadline.map(|deadline| deadline.attempt)
+        self.limits.deadline.map(|deadline| deadline.attempt)
+    }
+
+    /// When a connection for the attempt must be ready; `None` without a limit.
+    pub fn ready_by(&self) -> Option<Instant> {
+        let limits = [self.attempt_deadline(), self.limits.write_by];
+        limits.into_iter().flatten().min()
+    }
+
+    /// Whether the request may no longer be written, although the attempt may not have timed out.
+    pub fn is_write_limit_over(&self) -> bool {
+        let is_over = |write_by| Instant::now() >= write_by;
+        self.limits.write_by.is_some_and(is_over)
+    }
+
+    /// Whether the first byte of the request may be written now.
+    pub fn may_begin(&self) -> bool {
+        self.ready_by()
+            .is_none_or(|ready_by| Instant::now() < ready_by)
     }
 
     /// Bytes from the server were read.
@@ -73,7 +108,7 @@
     /// Waits until the attempt has timed out: at its deadline, or, while the head of the response is still arriving, at
     /// the request's. Never returns without a deadline.
     pub async fn timed_out(&self) {
-        let Some(deadline) = self.deadline else {
+        let Some(deadline) = self.limits.deadline else {
             return std::future::pending().await;
         };
         sleep_until(deadline.attempt).await;
--- a/src/bin/load-balancer/stream.rs
+++ b/src/bin/load-balancer/stream.rs
@@ -84,10 +84,16 @@
         }
     }
 
-    /// Whether the request's client has disconnected before the first byte of the request was written.
-    fn client_has_left(&self) -> bool {
+    /// Whether the request may not be written, or not go on to be: its client has disconnected before the first byte, or
+    /// the attempt's time to write is over.
+    fn is_write_forbidden(&self) -> bool {
+        if self.progress.is_fully_written() {
+            return false;
+        }
+        let clock = self.progress.clock.borrow();
         let client = self.progress.client.borrow();
-        client.as_ref().is_some_and(Client::has_disconnected)
+        let may_not_begin = |client: &Client| !clock.may_begin() || client.has_disconnected();
+        clock.is_write_limit_over() || client.as_ref().is_some_and(may_not_begin)
     }
 
     /// Records the result of a write.
@@ -126,14 +132,13 @@
         self.poll_write_vectored(cx, &[IoSlice::new(data)])
     }
 
-    /// Writes unless the request's client has disconnected before the first byte. Nothing is awaited between this check
-    /// and the system call.
+    /// Writes unless that is forbidden by now. Nothing is awaited between this check and the system call.
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        if self.client_has_left() {
+        if self.is_write_forbidden() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         let UpstreamSocket {
--- a/testbed/src/policy/baseline.rs
+++ b/testbed/src/policy/baseline.rs
@@ -87,6 +87,7 @@
                     id,
                     server,
                     timeout: remaining,
+                    write_within: None,
                 });
             }
             None => self.give_up(id, out),
@@ -128,7 +129,7 @@
         }
         let not_executed = matches!(
             result.outcome,
-            Outcome::Overloaded | Outcome::ConnectFailed | Outcome::NotSent
+            Outcome::Overloaded | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Withheld
         );
         pending.may_have_executed |= !not_executed;
         let safe =
--- a/testbed/src/scale/balancer.rs
+++ b/testbed/src/scale/balancer.rs
@@ -371,6 +371,7 @@
                     id,
                     server,
                     timeout,
+                    ..
                 } => {
                     let attempt = attempts.entry(id).or_insert(0);
                     let (outcome, duration) = attempt_model(server, &dead_servers);
--- a/testbed/src/sim/run/tries.rs
+++ b/testbed/src/sim/run/tries.rs
@@ -182,6 +182,7 @@
                 id,
                 server,
                 timeout: limit,
+                ..
             } => self.send(process, id, server, limit),
             Action::Cancel { id, attempt } => {
                 let attempt_state = self.processes[process]
--- a/testbed/src/slow_start/fleet.rs
+++ b/testbed/src/slow_start/fleet.rs
@@ -400,6 +400,7 @@
                     id,
                     server,
                     timeout: limit,
+                    ..
                 } => {
                     let request = number(id);
                     self.send(process, request, (server.0 as usize - 13) / 7919, limit);
--- a/testbed/src/wire/mod.rs
+++ b/testbed/src/wire/mod.rs
@@ -118,7 +118,7 @@
         Outcome::ConnectFailed => "connect_failed",
         Outcome::Reset => "reset",
         Outcome::Cancelled => "cancelled",
-        Outcome::NotSent => "moot",
+        Outcome::NotSent | Outcome::Withheld => "moot",
     }
 }
 
@@ -209,6 +209,7 @@
             id,
             server,
             timeout,
+            ..
         } => format!("DELIVER {} {} {timeout}", id_text(id), server.0),
         Action::Cancel { id, attempt } => format!("CALL_OFF {} {attempt}", id_text(id)),
         Action::Reject { id, retry_after } => format!("DECLINE {} {retry_after}", id_text(id)),
@@ -252,6 +253,7 @@
             id: id(field()?)?,
             server: ServerId(number(field()?, line)?),
             timeout: field().map_or(Ok(0), time)?,
+            write_within: None,
         },
         "CALL_OFF" => Action::Cancel {
             id: id(field()?)?,
--- a/testbed/src/wire/tests.rs
+++ b/testbed/src/wire/tests.rs
@@ -26,6 +26,7 @@
             id,
             server: ServerId(9),
             timeout: 3,
+            write_within: None,
         },
         Action::Cancel { id, attempt: 2 },
         Action::Reject { id, retry_after: 5 },
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod node_fixture;
 pub mod stand_ins;
+pub mod timed_requests;
 pub mod timestamping_servers;
 
 use load_balancer::*;
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -265,12 +265,17 @@
 /// Starts a listener whose connections keep little that is not read.
 pub fn listener_with_small_buffers() -> (SocketAddr, Receiver<TcpStream>) {
     let socket = bound_socket();
-    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
-    socket.set_tcp_mss(SMALL_SEGMENT).unwrap();
+    keep_little_unread(&socket);
     socket.listen(1_024).unwrap();
     (address_of(&socket), connections(socket.into()))
 }
 
+/// Lets the connections of a listener keep little that is not read.
+pub fn keep_little_unread(listener: &socket2::Socket) {
+    listener.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
+    listener.set_tcp_mss(SMALL_SEGMENT).unwrap();
+}
+
 /// A listener whose backlog is full: new connections to it stay pending until `open`.
 pub struct FullBacklog {
     pub addr: SocketAddr,
@@ -282,7 +287,6 @@
 impl FullBacklog {
     pub fn new() -> FullBacklog {
         let listener = bound_socket();
-        listener.listen(0).unwrap();
         // Accepted connections inherit the option, so each read reports the receive time of its bytes.
         nix::sys::socket::setsockopt(
             &listener,
@@ -290,9 +294,16 @@
             &true,
         )
         .unwrap();
+        FullBacklog::of(listener, Duration::from_millis(300))
+    }
+
+    /// Fills the backlog of a listener from which all connections were accepted. It is full when a connection is not
+    /// established within `patience`.
+    pub fn of(listener: socket2::Socket, patience: Duration) -> FullBacklog {
+        listener.listen(0).unwrap();
         let addr = address_of(&listener);
         let mut fillers = Vec::new();
-        while let Ok(filler) = TcpStream::connect_timeout(&addr, Duration::from_millis(300)) {
+        while let Ok(filler) = TcpStream::connect_timeout(&addr, patience) {
             fillers.push(filler);
         }
         FullBacklog {
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -22,6 +22,7 @@
 mod requests;
 mod response_sweep;
 mod restart;
+mod send_limits;
 mod server_connections;
 mod slow_peers;
 mod soak;
@@ -37,7 +38,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use serde_json::json;
+use serde_json::{json, Value};
 
 use common::http::*;
 use common::node_fixture::*;
--- a/tests/rules/host.rs
+++ b/tests/rules/host.rs
@@ -78,7 +78,8 @@
                 id,
                 server,
                 timeout,
-            } => self.check_send(id, server, timeout),
+                write_within,
+            } => self.check_send(id, server, timeout, write_within),
             Action::Reject { id, .. } => self.check_rejection(id),
             Action::Fail { id } => {
                 let request = self
@@ -115,7 +116,13 @@
         }
     }
 
-    fn check_send(&mut self, id: RequestId, server: ServerId, timeout: Micros) {
+    fn check_send(
+        &mut self,
+        id: RequestId,
+        server: ServerId,
+        timeout: Micros,
+        write_within: Option<Micros>,
+    ) {
         let now = self.node.now;
         let endpoint = self
             .endpoints
@@ -159,9 +166,10 @@
                 Idempotency::Idempotent => {}
                 Idempotency::NonIdempotent => panic!("a non-idempotent request may run twice"),
                 Idempotency::IdempotencyKey { scope, ttl } => {
+                    let written_within = write_within.expect("a retry without a limit on writing");
                     assert!(
-                        now <= first.sent_at + ttl,
-                        "a retry after the deduplication time"
+                        now + written_within <= first.sent_at + ttl,
+                        "a retry that may be written after the deduplication time"
                     );
                     match scope {
                         DedupScope::All => {}
@@ -263,7 +271,7 @@
         let sent = &mut request.attempts[attempt];
         sent.may_have_run = Some(match outcome {
             Outcome::Overloaded => self.settings.overloaded_may_have_run,
-            Outcome::ConnectFailed | Outcome::NotSent => false,
+            Outcome::ConnectFailed | Outcome::NotSent | Outcome::Withheld => false,
             _ => true,
         });
         if let Some(key) = request
