Node: a request that is given up does not reach its server later

What servers saw: a request whose body they took late was begun after its repeat window (up to 2.8 s after the first time, with a window of 1 s), 0.25 to 1.45 s after its client had left, and after its final answer.

What the system had taken was delivered to the end, after a close too (60,000 bytes came whole 0.4 s after the answer, at a server that had read nothing before: `ss` shows 56 kB in FIN-WAIT-1). And where attempts may not be cancelled, the node went on to write for a client that had left.

Change: a request whose client has left, or whose time to write is over, is withdrawn unless its last byte has left this machine; an attempt that has not reached its server whole is none, so that cancelling need not be allowed. A connection that is closed under a request whose bytes the system still holds is reset, which drops them. `unsent_bytes.rs` asks the system without `unsafe`: with a limit of one unsent byte a socket is writable only if it has none. All other closes stay as they were.

Tests: three in `send_limits`, by the kernel's receive times. Bytes that the server's system holds are beyond the node; those that were sent and lost on the way are still sent again by the system (not tried).

--- a/src/bin/load-balancer/main.rs
+++ b/src/bin/load-balancer/main.rs
@@ -31,6 +31,7 @@
 mod state_file;
 mod stream;
 mod task;
+mod unsent_bytes;
 mod write_stall;
 
 use std::collections::HashMap;
--- a/src/bin/load-balancer/servers.rs
+++ b/src/bin/load-balancer/servers.rs
@@ -431,6 +431,14 @@
                 }
                 Exchange::Unsent => return Outcome::ConnectFailed.into(),
                 Exchange::Broken => return Outcome::Reset.into(),
+                // The system holds the last bytes, by all that is known.
+                Exchange::Withdrawn if connection.progress.is_fully_written() => {
+                    return Outcome::Cancelled.into()
+                }
+                Exchange::Withdrawn if request.client.has_disconnected() => {
+                    return Outcome::NotSent.into()
+                }
+                Exchange::Withdrawn => return Outcome::Withheld.into(),
                 Exchange::Response(status, headers, body) => {
                     self.record_response(server);
                     let load_report =
--- a/src/bin/load-balancer/servers/attempt_clock.rs
+++ b/src/bin/load-balancer/servers/attempt_clock.rs
@@ -89,6 +89,14 @@
             .is_none_or(|ready_by| Instant::now() < ready_by)
     }
 
+    /// Waits until the request may no longer be written; never returns without such a limit.
+    pub async fn write_limit(&self) {
+        match self.limits.write_by {
+            Some(write_by) => sleep_until(write_by).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Bytes from the server were read.
     pub fn record_read(&self) {
         self.last_read_at.set(Some(Instant::now()));
--- a/src/bin/load-balancer/servers/exchange.rs
+++ b/src/bin/load-balancer/servers/exchange.rs
@@ -23,6 +23,8 @@
     Unsent,
     /// The connection broke after the request was written: the server may have run it.
     Broken,
+    /// The request was given up, as its last bytes would have reached the server too late.
+    Withdrawn,
     /// The server's response.
     Response(StatusCode, HeaderMap, ReceivedBody),
 }
@@ -67,7 +69,15 @@
     let deadline = clock.attempt_deadline();
     connection.progress.begin(&request.client, clock);
     let http_request = http_request(request, addr, deadline, connection.progress.clone());
-    let response = match connection.sender.try_send_request(http_request).await {
+    let sent = connection.sender.try_send_request(http_request);
+    let response = tokio::select! {
+        biased;
+        response = sent => response,
+        () = connection.progress.becomes_undeliverable(&request.client) => {
+            return Exchange::Withdrawn;
+        }
+    };
+    let response = match response {
         Ok(response) => response,
         Err(_) if !connection.progress.is_fully_written() => return Exchange::Unsent,
         Err(_) => return Exchange::Broken,
--- a/src/bin/load-balancer/stream.rs
+++ b/src/bin/load-balancer/stream.rs
@@ -1,11 +1,14 @@
-//! A server's socket that records how much of the current request has been written.
+//! A server's socket that records how much of the current request has been written, and keeps a request that is given up
+//! from reaching its server later.
 
 use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
+use std::net::Shutdown;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -13,6 +16,7 @@
 use crate::metrics::Metrics;
 use crate::servers::AttemptClock;
 use crate::socket_read;
+use crate::unsent_bytes::has_unsent_bytes;
 use crate::write_stall::{is_stalled, StallGuard};
 
 /// How much of the current request on a connection has been written. A connection carries one request at a
@@ -32,6 +36,10 @@
     clock: RefCell<Rc<AttemptClock>>,
     /// Whether the connection was given up because the server has stopped reading the request.
     stalled: Cell<bool>,
+    /// Whether a request was begun whose response has not.
+    awaits_response: Cell<bool>,
+    /// The connection's socket.
+    socket: RefCell<Weak<TcpStream>>,
 }
 
 impl RequestProgress {
@@ -43,10 +51,31 @@
         self.is_health_check.set(client.is_node());
         self.body_taken.set(false);
         self.fully_written.set(false);
+        self.awaits_response.set(true);
+    }
+
+    /// Waits until the request must not reach its server any more, as its client has disconnected or its time to be written
+    /// is over. Never returns once the last byte has left this machine.
+    pub async fn becomes_undeliverable(&self, client: &Client) {
+        let clock = self.clock.borrow().clone();
+        tokio::select! {
+            () = client.disconnected() => {}
+            () = clock.write_limit() => {}
+        }
+        if self.has_left_the_machine() {
+            std::future::pending().await
+        }
+    }
+
+    /// Whether the last byte was written, and the system has sent it.
+    fn has_left_the_machine(&self) -> bool {
+        let socket = self.socket.borrow().upgrade();
+        self.is_fully_written() && !socket.is_some_and(|socket| has_unsent_bytes(&socket))
     }
 
     /// The head of the response has been received.
     pub fn response_head_received(&self) {
+        self.awaits_response.set(false);
         self.clock.borrow().record_head();
     }
 
@@ -68,7 +97,7 @@
 
 /// A socket to a server. Writing fails if the server has stopped reading the request (see [`StallGuard`]).
 pub struct UpstreamSocket {
-    socket: TcpStream,
+    socket: Rc<TcpStream>,
     progress: Rc<RequestProgress>,
     stall_guard: StallGuard,
     metrics: Rc<Metrics>,
@@ -76,6 +105,8 @@
 
 impl UpstreamSocket {
     pub fn new(socket: TcpStream, progress: Rc<RequestProgress>, metrics: Rc<Metrics>) -> Self {
+        let socket = Rc::new(socket);
+        progress.socket.replace(Rc::downgrade(&socket));
         UpstreamSocket {
             socket,
             progress,
@@ -152,30 +183,35 @@
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
+        true
     }
 
     /// The HTTP library flushes once it has written all that it holds: if it has taken the last part by then,
     /// the whole request is written.
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.socket).poll_flush(cx);
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         let RequestProgress {
             body_taken,
             fully_written,
             is_health_check,
             ..
         } = &*self.progress;
-        if matches!(flushed, Poll::Ready(Ok(())))
-            && body_taken.get()
-            && !fully_written.replace(true)
-            && !is_health_check.get()
-        {
+        if body_taken.get() && !fully_written.replace(true) && !is_health_check.get() {
             self.metrics.requests_forwarded.increment();
         }
-        flushed
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.socket).shutdown(Shutdown::Write))
+    }
+}
+
+impl Drop for UpstreamSocket {
+    /// Resets the connection of a request that is given up while the system still holds some of its bytes: after a close
+    /// the system would deliver them to a server that reads late, which would begin the request then.
+    fn drop(&mut self) {
+        if self.progress.awaits_response.get() && has_unsent_bytes(&self.socket) {
+            let _ = self.socket.set_zero_linger();
+        }
     }
 }
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -270,12 +270,17 @@
     (address_of(&socket), connections(socket.into()))
 }
 
-/// Lets the connections of a listener keep little that is not read.
+/// Lets the connections of a listener keep little that is not read, on either side.
 pub fn keep_little_unread(listener: &socket2::Socket) {
-    listener.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
+    keep_little_received(listener);
     listener.set_tcp_mss(SMALL_SEGMENT).unwrap();
 }
 
+/// Lets the connections of a listener keep little that is not read on their own side.
+pub fn keep_little_received(listener: &socket2::Socket) {
+    listener.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
+}
+
 /// A listener whose backlog is full: new connections to it stay pending until `open`.
 pub struct FullBacklog {
     pub addr: SocketAddr,
--- a/tests/common/timed_requests.rs
+++ b/tests/common/timed_requests.rs
@@ -10,8 +10,8 @@
 use nix::sys::socket::{setsockopt, sockopt};
 
 use super::http::Message;
-use super::stand_ins::{address_of, bound_socket, keep_little_unread};
-use super::timestamping_servers::{first_byte_time as data_time, TimestampedStream};
+use super::stand_ins::{address_of, bound_socket, keep_little_received, keep_little_unread};
+use super::timestamping_servers::TimestampedStream;
 
 /// A request that has reached a server completely: only now has its attempt begun.
 #[derive(Debug)]
@@ -19,7 +19,8 @@
     pub message: Message,
     /// When the first byte arrived.
     pub first_byte: SystemTime,
-    /// When the last byte arrived.
+    /// When the last byte arrived. If the connection was closed before it was read, the time of the close; nothing in the
+    /// socket tells then when bytes arrived that had waited for room.
     pub last_byte: SystemTime,
 }
 
@@ -36,7 +37,7 @@
         Some(TimedRequest {
             message,
             first_byte,
-            last_byte: data_time(stream, input.get_ref().received_at),
+            last_byte: input.get_ref().received_at,
         })
     }
 
@@ -47,12 +48,24 @@
     }
 }
 
-/// A listener that accepts nothing by itself, and whose connections report receive times. With `small_buffers` they keep
-/// little that is not read.
-pub fn timed_listener(small_buffers: bool) -> (SocketAddr, socket2::Socket) {
+/// Where the bytes wait that a server has not read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Unread {
+    /// In the server's system.
+    Server,
+    /// In the system of the node.
+    NodeSystem,
+    /// In the node, as its system takes little of them.
+    Node,
+}
+
+/// A listener that accepts nothing by itself, and whose connections report receive times.
+pub fn timed_listener(unread: Unread) -> (SocketAddr, socket2::Socket) {
     let socket = bound_socket();
-    if small_buffers {
-        keep_little_unread(&socket);
+    match unread {
+        Unread::Server => {}
+        Unread::NodeSystem => keep_little_received(&socket),
+        Unread::Node => keep_little_unread(&socket),
     }
     setsockopt(&socket, sockopt::ReceiveTimestampns, &true).unwrap();
     socket.listen(1_024).unwrap();
--- a/tests/node/send_limits.rs
+++ b/tests/node/send_limits.rs
@@ -8,6 +8,8 @@
 
 /// The slack of the platform's time limits on sockets.
 pub(super) const SOCKET_SLACK: Duration = Duration::from_millis(50);
+/// No attempt may begin later than this after its client has gone.
+pub(super) const MAX_START_DELAY: Duration = Duration::from_millis(100);
 /// The system tries a connection again this long after its first try.
 const CONNECT_RETRY: Duration = Duration::from_secs(1);
 /// Servers on the list, all at one address.
@@ -57,7 +59,7 @@
 #[test]
 fn a_repeat_is_not_written_after_its_window_when_its_connection_comes_late() {
     let window = Duration::from_secs(1);
-    let (addr, listener) = timed_listener(false);
+    let (addr, listener) = timed_listener(Unread::Server);
     let fixture = fixture_at(addr, |settings| {
         settings["classes"][2]["key-ttl"] = json!(window.as_micros() as u64);
         settings["bounds"]["dial-timeout"] = json!(1_500_000);
@@ -85,3 +87,76 @@
         "the client has no answer"
     );
 }
+
+// Guards against the same where the server of the repeat has a connection and takes its last bytes late: they wait in the
+// node's system.
+#[test]
+fn a_repeat_is_not_delivered_after_its_window_when_its_server_reads_late() {
+    for unread in [Unread::Node, Unread::NodeSystem] {
+        check_repeat_of_late_reader(unread);
+    }
+}
+
+fn check_repeat_of_late_reader(unread: Unread) {
+    let window = Duration::from_secs(1);
+    let (addr, listener) = timed_listener(unread);
+    let fixture = fixture_at(addr, |settings| {
+        settings["classes"][2]["key-ttl"] = json!(window.as_micros() as u64);
+    });
+    let _client = fixture.send(&keyed_request(&new_id(), 3_000, 60_000));
+    let stream = accept(&listener);
+    let first = TimedRequest::read(&stream).expect("no first attempt");
+    thread::sleep(window / 2 - time_between(first.last_byte, SystemTime::now()));
+    reset(stream);
+    let requests = timed_requests(connections(listener.into()), window);
+    for repeat in arrivals_within(&requests, 2 * window) {
+        let after = time_between(first.last_byte, repeat.last_byte);
+        assert!(
+            after <= window + SOCKET_SLACK,
+            "delivered after {after:?}, with a window of {window:?}, bytes waiting {unread:?}"
+        );
+    }
+}
+
+// Guards against an attempt that begins after its client has gone: its last bytes wait in the node's system for a server
+// that reads late, whether or not attempts may be cancelled.
+#[test]
+fn a_request_is_not_delivered_after_its_client_has_left() {
+    let all = [Unread::Node, Unread::NodeSystem];
+    for (unread, cancelling) in all
+        .into_iter()
+        .flat_map(|unread| [(unread, true), (unread, false)])
+    {
+        let (addr, listener) = timed_listener(unread);
+        let fixture = fixture_at(addr, |settings| {
+            settings["bounds"]["cancelling"] = json!(cancelling);
+        });
+        let client = fixture.send(&keyed_request(&new_id(), 3_000, 60_000));
+        let requests = timed_requests(connections(listener.into()), Duration::from_millis(600));
+        thread::sleep(Duration::from_millis(200));
+        drop(client);
+        let left_at = SystemTime::now();
+        for attempt in arrivals_within(&requests, Duration::from_millis(1_500)) {
+            let after = time_between(left_at, attempt.last_byte);
+            assert!(
+                after <= MAX_START_DELAY,
+                "begun {after:?} after its client left, cancelling: {cancelling}, bytes waiting {unread:?}"
+            );
+        }
+    }
+}
+
+// Guards against an attempt that begins after its request was answered, as above.
+#[test]
+fn a_request_is_not_delivered_after_its_final_answer() {
+    let (addr, listener) = timed_listener(Unread::NodeSystem);
+    let fixture = fixture_at(addr, |_| {});
+    let mut client = fixture.send(&keyed_request(&new_id(), 500, 60_000));
+    let requests = timed_requests(connections(listener.into()), Duration::from_millis(900));
+    assert!(read_one_byte(&mut client).is_ok_and(|read| read > 0));
+    let answered_at = SystemTime::now();
+    for attempt in arrivals_within(&requests, Duration::from_millis(1_500)) {
+        let after = time_between(answered_at, attempt.last_byte);
+        assert!(after <= MAX_START_DELAY, "begun {after:?} after its answer");
+    }
+}
