Node: a long request tells its server what is left when its connection comes

Cause: an attempt of a request whose body is still arriving has no deadline when it is decided, and the head went by that. The body may be complete, and its time run, when the head is written.

Change: what is left is asked of the body at the write; its whole time only while its end is not known to have come. Still open: a body beyond the 2 MiB that are received ahead, whose end the node has not read.

--- a/src/bin/load-balancer/body/upload.rs
+++ b/src/bin/load-balancer/body/upload.rs
@@ -292,9 +292,13 @@
         self.partly_sent.get()
     }
 
-    /// How long the client waits for its response, counted from the last byte of the request.
+    /// How long the client still waits for its response: its whole time while the end of the body is not known to have come,
+    /// as it is counted from the last byte.
     pub fn remaining_timeout(&self) -> Duration {
-        self.remaining_timeout
+        match self.deadline.get() {
+            Some(deadline) => deadline.saturating_duration_since(Instant::now()),
+            None => self.remaining_timeout,
+        }
     }
 
     /// Waits until the server has run out of time for its response: at the request's deadline once the body is
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -22,6 +22,7 @@
 mod requests;
 mod response_sweep;
 mod restart;
+mod send_limit_sweep;
 mod send_limits;
 mod server_connections;
 mod slow_peers;
--- a/tests/node/send_limits.rs
+++ b/tests/node/send_limits.rs
@@ -10,6 +10,8 @@
 pub(super) const SOCKET_SLACK: Duration = Duration::from_millis(50);
 /// No attempt may begin later than this after its client has gone.
 pub(super) const MAX_START_DELAY: Duration = Duration::from_millis(100);
+/// A request may tell its server this much more than its client has left.
+pub(super) const MAX_EXCESS_REMAINING: Duration = Duration::from_millis(150);
 /// The system tries a connection again this long after its first try.
 const CONNECT_RETRY: Duration = Duration::from_secs(1);
 /// Servers on the list, all at one address.
@@ -160,3 +162,33 @@
         assert!(after <= MAX_START_DELAY, "begun {after:?} after its answer");
     }
 }
+
+// Guards against a server that is told more time than the client has left: the request's time began while it waited for its
+// connection.
+#[test]
+fn a_long_request_that_was_complete_before_its_connection_tells_what_is_left() {
+    let timeout = Duration::from_millis(2_500);
+    let backlog = FullBacklog::new();
+    let fixture = fixture_at(backlog.addr, |settings| {
+        settings["bounds"]["dial-timeout"] = json!(1_500_000);
+    });
+    let length = 200_000;
+    let lines = format!("Content-Length: {length}\r\n");
+    let mut text = post("pay", &new_id(), timeout.as_millis() as u64, &lines);
+    text.extend(body_of(length));
+    let _client = fixture.send(&text);
+    let complete_at = SystemTime::now();
+    wait_until("the request waits for its connection", || {
+        backlog.pending_connections() > 0
+    });
+    let requests = timed_requests(backlog.open(), Duration::ZERO);
+    let (attempt, _stream) = requests.recv_timeout(TEST_TIMEOUT).expect("no attempt");
+    let waited = time_between(complete_at, attempt.first_byte);
+    assert!(waited >= CONNECT_RETRY / 2, "the connection came at once");
+    let left = timeout.saturating_sub(waited);
+    assert!(
+        attempt.remaining() <= left + MAX_EXCESS_REMAINING,
+        "told {:?} where {left:?} are left",
+        attempt.remaining()
+    );
+}
