Node: a request goes to the process of its server that was chosen for it

What a server saw: it started anew, the node was told, and all 60 requests that waited for a connection to its last process reached the new one at once, outside of its slow start, which allowed none.

An attempt that was decided for a warm process, and waited, went to whatever process the list named when its connection came.

Change: an attempt carries the epoch of the server for which it was decided (it changes with the process, the address and a return to the list). For another epoch it ends as `Withheld`, and the balancer decides anew, within the new process's budget. Health checks go to any epoch.

--- a/src/bin/load-balancer/event_loop/actions.rs
+++ b/src/bin/load-balancer/event_loop/actions.rs
@@ -75,6 +75,7 @@
     fn send(&mut self, number: RequestNumber, server: ServerId, limits: SendLimits) {
         let now = Instant::now();
         let max_attempts = self.max_attempts;
+        let epoch = self.servers.epoch(server);
         let pending = self.requests.get_mut(number);
         let Some(pending) = pending.filter(|pending| pending.may_send(now, max_attempts)) else {
             return self.skip_attempt(number, server);
@@ -84,7 +85,10 @@
             index: pending.attempts.len() as u32,
             server,
             upstream: pending.upstream.clone(),
-            limits: pending.attempt_limits(now, limits),
+            limits: AttemptLimits {
+                epoch,
+                ..pending.attempt_limits(now, limits)
+            },
         };
         let task = attempt.spawn(self.servers.clone(), self.messages.clone());
         let in_flight = InFlightAttempt::new(server, now, task);
--- a/src/bin/load-balancer/event_loop/request_table.rs
+++ b/src/bin/load-balancer/event_loop/request_table.rs
@@ -95,6 +95,7 @@
         AttemptLimits {
             deadline: self.deadline.map(deadline_of),
             write_by: write_within.map(|write_within| now + write_within),
+            epoch: None,
         }
     }
 }
--- a/src/bin/load-balancer/servers.rs
+++ b/src/bin/load-balancer/servers.rs
@@ -315,6 +315,11 @@
             & ((1 << 52) - 1)
     }
 
+    /// The epoch of a listed server.
+    pub fn epoch(&self, server: ServerId) -> Option<u64> {
+        self.entries.borrow().get(&server).map(|entry| entry.epoch)
+    }
+
     fn next_epoch(&self) -> u64 {
         self.last_epoch.set(self.last_epoch.get() + 1);
         self.last_epoch.get()
@@ -462,8 +467,8 @@
     /// # Errors
     ///
     /// `ConnectFailed` if no connection is established in time, or if the server must receive no new request;
-    /// `Withheld` if it would come too late for the request, and `NotSent` if the node has no room for a connection: both
-    /// say nothing about the server.
+    /// `Withheld` if it would come too late for the request, or if another process has taken the server's place, and
+    /// `NotSent` if the node has no room for a connection: both say nothing about the server.
     async fn ready_connection(
         &self,
         server: ServerId,
@@ -481,6 +486,9 @@
         };
         loop {
             let (addr, epoch) = self.address(server).ok_or(Outcome::ConnectFailed)?;
+            if !clock.is_for_epoch(epoch) {
+                return Err(Outcome::Withheld);
+            }
             let (mut connection, reused) = match self.take_idle_connection(server) {
                 Some(connection) => {
                     // The server may have closed the connection without its task having read that yet, so the
--- a/src/bin/load-balancer/servers/attempt_clock.rs
+++ b/src/bin/load-balancer/servers/attempt_clock.rs
@@ -36,13 +36,15 @@
     pub deadline: Option<AttemptDeadline>,
     /// When the last byte of the request must have been written; `None` if only the deadline limits it.
     pub write_by: Option<Instant>,
+    /// The epoch of the server that the attempt was decided for; `None` if any will do.
+    pub epoch: Option<u64>,
 }
 
 impl From<Option<AttemptDeadline>> for AttemptLimits {
     fn from(deadline: Option<AttemptDeadline>) -> Self {
         AttemptLimits {
             deadline,
-            write_by: None,
+            ..AttemptLimits::default()
         }
     }
 }
@@ -77,6 +79,14 @@
         limits.into_iter().flatten().min()
     }
 
+    /// Whether the request may go to a server of this epoch. A later one is another process, or one at another address, and
+    /// may have to start slowly.
+    pub fn is_for_epoch(&self, epoch: u64) -> bool {
+        self.limits
+            .epoch
+            .is_none_or(|decided_for| decided_for == epoch)
+    }
+
     /// Whether the request may no longer be written, although the attempt may not have timed out.
     pub fn is_write_limit_over(&self) -> bool {
         let is_over = |write_by| Instant::now() >= write_by;
--- a/tests/node/send_limits.rs
+++ b/tests/node/send_limits.rs
@@ -163,6 +163,45 @@
     }
 }
 
+// Guards against a server that starts anew and gets at once all requests that waited for a connection to its last process:
+// they were not counted in its slow start.
+#[test]
+fn requests_that_wait_for_a_connection_do_not_go_to_the_next_process_of_their_server() {
+    const WAITING: usize = 60;
+    /// Most requests that a cold server may get for which the settings allow none: 3 x root of 0, and 3.
+    const COLD_BUDGET: usize = 3;
+    let backlog = FullBacklog::new();
+    let addr = backlog.addr;
+    let mut fixture = NodeFixture::configured(0, &ADMIN_ENV, |config| {
+        config["known"]["members"] = json!([member_at("s-0", addr)]);
+        let settings = &mut config["settings"];
+        settings["bounds"]["dial-timeout"] = json!(1_500_000);
+        settings["rules"]["start-capacity"] = json!(0.13);
+        settings["rules"]["ramp-time"] = json!(23_000_000);
+        settings["rules"]["fall-multiple"] = json!(3.0);
+    });
+    let (_, mut watch) = fixture.watch();
+    fixture.members = vec![member_at("s-0", addr)];
+    let _clients: Vec<_> = (0..WAITING)
+        .map(|number| fixture.send(&request_with_key("look", &new_id(), 3_000, number)))
+        .collect();
+    wait_until("all requests wait for a connection", || {
+        backlog.pending_connections() == WAITING
+    });
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    fixture.members[0]["up_since_ms"] = json!(now.unwrap().as_millis() as u64);
+    let line = fixture.change_phase(0, "in_service", 42);
+    write_chunk(&mut watch, &line);
+    // The change is told, then the new process accepts.
+    thread::sleep(Duration::from_millis(100));
+    let requests = timed_requests(backlog.open(), Duration::ZERO);
+    let arrived = arrivals_within(&requests, Duration::from_secs(2)).len();
+    assert!(
+        arrived <= COLD_BUDGET,
+        "{arrived} of {WAITING} requests reached the new process"
+    );
+}
+
 // Guards against a server that is told more time than the client has left: the request's time began while it waited for its
 // connection.
 #[test]
