--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -195,3 +195,24 @@
     assert!(!output.status.success());
     assert!(String::from_utf8_lossy(&output.stderr).contains("was not run: red::one"));
 }
+
+// Guards against a list that can't hold a fault which shows in some runs only, and against an entry that may pass without
+// saying how often its test was seen to fail.
+#[test]
+fn a_test_that_fails_sometimes_may_pass_and_is_printed() {
+    let list = |seen: &str| format!("green::one | cargo test one | {seen} | 64\n{TWO_ENTRIES}");
+    let output = run(Some(&list("sometimes, 1 of 12 runs: late")), TWO_FAIL);
+    let printed = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{printed}");
+    let line =
+        "passed in this one: green::one | cargo test one | sometimes, 1 of 12 runs: late | 64";
+    assert!(printed.contains(line), "{printed}");
+    for seen in [
+        "late",
+        "sometimes late",
+        "sometimes, 0 of 12 runs: late",
+        "sometimes, 1 of 12 runs: ",
+    ] {
+        check_rejected(&list(seen), "passes and has to leave the list: green::one");
+    }
+}
