--- a/src/bin/load-balancer/servers/tests.rs
+++ b/src/bin/load-balancer/servers/tests.rs
@@ -4,11 +4,12 @@
 
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
+use load_balancer::UpdateKind;
 
 use super::pool::REUSE_DELAY;
 use super::*;
 use crate::client_liveness::ClientLiveness;
-use crate::discovery::endpoint_list::EndpointEntry;
+use crate::discovery::endpoint_list::{EndpointEntry, EndpointList};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, LocalSet};
