--- a/tests/decisions/slow_start.rs
+++ b/tests/decisions/slow_start.rs
@@ -122,3 +122,48 @@
     assert!((50..=64).contains(&fast), "{fast}");
     assert!((1..=45).contains(&slow), "{slow}");
 }
+
+// Guards against a warming server that is overloaded by attempts which were decided one by one and arrive together: their
+// connections came up late. The wait is the longest of the platform, and so is the window over which overload is counted.
+#[test]
+fn late_connections_bring_a_warming_server_no_more_than_its_budget() {
+    const LONGEST_WAIT: Micros = 1_500_000;
+    const REQUESTS_PER_TENTH: u64 = 20;
+    let settings = settings();
+    let window = settings.cold_overload_window;
+    let mut node = Node::with_servers(4);
+    let warming = ServerId(1);
+    let (mut number, mut sent_at) = (0, Vec::new());
+    let mut run = |node: &mut Node, tenths: u64| {
+        for _ in 0..tenths {
+            for _ in 0..REQUESTS_PER_TENTH {
+                number += 1;
+                let server = node.route(number, IDEMPOTENT, number);
+                if server == warming {
+                    sent_at.push(node.now);
+                }
+                node.end_attempt(number, 0, server, Outcome::Ok);
+            }
+            node.advance(100_000);
+        }
+        std::mem::take(&mut sent_at)
+    };
+    run(&mut node, 100);
+    let warm_rate = run(&mut node, 100).len() as f64 / 10.0;
+    let started_at = node.now;
+    restart(&mut node, warming);
+    let sent_at = run(&mut node, 80);
+    let worst = sent_at.iter().map(|&begin| {
+        let age = (begin - started_at) as f64 / settings.slow_start_time as f64;
+        let capacity = settings.cold_capacity + (1.0 - settings.cold_capacity) * age;
+        let seconds = window as f64 / SECOND as f64;
+        let budget = settings.cold_overload_factor * capacity * warm_rate * seconds;
+        let arrives = |&&at: &&Micros| at + LONGEST_WAIT >= begin && at < begin + window;
+        let arrived = sent_at.iter().filter(arrives).count() as f64;
+        arrived / (budget + 2.0 * budget.sqrt() + 2.0)
+    });
+    let worst = worst.fold(0.0, f64::max);
+    println!("{worst:.2} of the budget at the most");
+    assert!(sent_at.len() > 50, "{} attempts", sent_at.len());
+    assert!(worst <= 1.0, "{worst:.2} of the budget");
+}
