Node: log why a connection ended under a request, and how much of its response was written

Change: the reason of the end travels with the request; a line for each streamed response that did not end, with the bytes that the socket took; close reason response-broken; a limit of their own for lines about rejected requests.

Measured: all tests of the package pass (x86-64).

--- a/src/bin/load-balancer/clients.rs
+++ b/src/bin/load-balancer/clients.rs
@@ -41,7 +41,7 @@
 mod guards;
 mod messages;
 
-use guards::{ConnectionGuard, RequestGuard};
+use guards::{ConnectionGuard, RequestGuard, RequestIdentity};
 use messages::{
     body_error_response, remove_hop_by_hop_headers, routing_key, text_response, upstream_response,
 };
@@ -233,6 +233,7 @@
             }
             () = self.close_idle.notified(), if !only_one_request => (false, CloseReason::Draining),
         };
+        client_connection.closed(reason);
         self.metrics.connection_closed(reason);
         // A request whose head has begun to arrive is still served; its response closes the connection.
         let head_in_progress = !ended && client_connection.is_sending_head();
@@ -248,7 +249,7 @@
         if !ended {
             // An idle connection closes at once, another one after its response.
             connection.as_mut().graceful_shutdown();
-            serve_while_connected(connection, client_left).await;
+            client_connection.closed(serve_while_connected(connection, client_left).await);
         }
         self.open_connections.borrow_mut().remove(&number);
         self.rejected_connections.borrow_mut().remove(&number);
@@ -474,13 +475,14 @@
             Some(target) => Uri::from(target.clone()),
             None => return Err(bad("no path\n")),
         };
+        let client_id = text("x-txn").ok().flatten().unwrap_or_default().into();
         let mut headers = head.headers;
         remove_hop_by_hop_headers(&mut headers);
-        let id = self.next_number();
+        let number = RequestNumber(self.next_number());
         let (reply, response_receiver) = oneshot::channel();
         let client_liveness = ClientLiveness::new(socket, upload.is_some());
         let arrived = RequestArrived {
-            number: RequestNumber(id),
+            number,
             class: ClassId(class),
             tenant: tenant.map(TenantId),
             key,
@@ -499,9 +501,13 @@
         };
         let request_guard = RequestGuard::new(
             self,
-            id,
-            class,
+            RequestIdentity {
+                number,
+                client_id,
+                class,
+            },
             upload_permit.flatten(),
+            client_connection,
             client_liveness,
             upload.clone(),
         );
@@ -526,13 +532,14 @@
                     Some(memory) => client_connection.hold_until_flushed(memory),
                     None => streamed.pass_on_part_by_part(client_connection.clone()),
                 }
+                request_guard.streaming_begins();
                 let client_connection = client_connection.clone();
                 streamed.on_end(move |outcome| {
                     if outcome != RequestOutcome::Served {
                         client_connection.mark_response_broken();
                     }
                     client_connection.request_answered();
-                    request_guard.end(outcome);
+                    request_guard.streaming_ended(outcome);
                 });
                 return Ok(upstream_response(headers, ResponseBody::Streamed(streamed)));
             }
@@ -631,7 +638,7 @@
                 // The caller counts a failed upload as malformed: it is no disconnected client.
                 let deadline = completed.inspect_err(|_| request_guard.ended.set(true))?;
                 request_guard.upload_ended();
-                let number = RequestNumber(request_guard.id);
+                let number = request_guard.request.number;
                 let message = RequestComplete { number, deadline };
                 let _ = self.messages.send(Message::RequestComplete(message));
             }
@@ -681,6 +688,8 @@
         served = connection => match served {
             Ok(()) => CloseReason::Finished,
             Err(error) if error.is_timeout() => CloseReason::HeadTimeout,
+            Err(error) if error.is_user() => CloseReason::ResponseBroken,
+            Err(error) if error.is_incomplete_message() => CloseReason::ClientLeft,
             Err(_) => CloseReason::Broken,
         },
         _ = client_left => CloseReason::ClientLeft,
--- a/src/bin/load-balancer/connection.rs
+++ b/src/bin/load-balancer/connection.rs
@@ -17,7 +17,7 @@
 
 use crate::connection_memory::{ConnectionMemory, SHORT_INPUT_BYTES};
 use crate::memory_budget::MemoryReservation;
-use crate::metrics::Metrics;
+use crate::metrics::{CloseReason, Metrics};
 use crate::socket_read;
 use crate::write_stall::{is_stalled, StallGuard};
 
@@ -61,6 +61,10 @@
     has_unflushed_part: Cell<bool>,
     /// Wakes the response that waits until its last part was taken.
     flush_waker: RefCell<Option<Waker>>,
+    /// Bytes of the current response that the socket has taken.
+    response_bytes: Cell<u64>,
+    /// Why the connection has ended; `None` while it is open.
+    close_reason: Cell<Option<CloseReason>>,
     /// Notified when the connection is to close because its room is needed.
     pub close_requested: Notify,
 }
@@ -83,6 +87,8 @@
             unflushed: RefCell::default(),
             has_unflushed_part: Cell::new(false),
             flush_waker: RefCell::default(),
+            response_bytes: Cell::new(0),
+            close_reason: Cell::new(None),
             close_requested: Notify::new(),
         }
     }
@@ -91,6 +97,22 @@
     pub fn request_started(&self) {
         self.request_received.set(true);
         self.idle_since.set(None);
+        self.response_bytes.set(0);
+    }
+
+    /// Bytes of the current response that the socket has taken.
+    pub fn response_bytes(&self) -> u64 {
+        self.response_bytes.get()
+    }
+
+    /// The connection has ended.
+    pub fn closed(&self, reason: CloseReason) {
+        self.close_reason.set(Some(reason));
+    }
+
+    /// Why the connection has ended. One that is dropped without a reason ends with the process.
+    pub fn close_reason(&self) -> CloseReason {
+        self.close_reason.get().unwrap_or(CloseReason::Draining)
     }
 
     pub fn has_sent_request(&self) -> bool {
@@ -340,6 +362,10 @@
         if is_stalled(&written) {
             metrics.clients_stalled.increment();
         }
+        if let Ok(bytes) = written {
+            let response_bytes = &self.client_connection.response_bytes;
+            response_bytes.set(response_bytes.get() + bytes as u64);
+        }
         Poll::Ready(written)
     }
 
--- a/src/bin/load-balancer/event_loop/messages.rs
+++ b/src/bin/load-balancer/event_loop/messages.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::discovery::WatchEvent;
+use crate::metrics::CloseReason;
 use crate::servers::{UpstreamRequest, UpstreamResponse, UpstreamResult};
 
 /// What the node's other tasks report to the event loop.
@@ -22,7 +23,7 @@
     /// The last byte of a request's body has arrived.
     RequestComplete(RequestComplete),
     /// A request's client no longer waits.
-    ClientDisconnected(RequestNumber),
+    ClientDisconnected(ClientDisconnected),
     /// An attempt has ended.
     AttemptEnded(AttemptEnded),
     /// A health check has ended.
@@ -61,6 +62,14 @@
     }
 }
 
+/// A request's client no longer waits.
+pub struct ClientDisconnected {
+    /// The request, which may have been answered.
+    pub number: RequestNumber,
+    /// Why its connection has ended.
+    pub reason: CloseReason,
+}
+
 /// A client's request has arrived.
 pub struct RequestArrived {
     /// The node's number of the request; the id that the client gives it need not be unique.
--- a/src/bin/load-balancer/event_loop/mod.rs
+++ b/src/bin/load-balancer/event_loop/mod.rs
@@ -205,7 +205,7 @@
         match message {
             Message::RequestArrived(request) => self.request_arrived(*request),
             Message::RequestComplete(message) => self.request_complete(&message),
-            Message::ClientDisconnected(number) => self.client_disconnected(number),
+            Message::ClientDisconnected(message) => self.client_disconnected(&message),
             Message::AttemptEnded(message) => self.attempt_ended(message),
             Message::HealthCheckEnded(message) => self.health_check_ended(message),
             Message::Watch(message) => self.watch_event(message),
--- a/src/bin/load-balancer/event_loop/request_log.rs
+++ b/src/bin/load-balancer/event_loop/request_log.rs
@@ -10,7 +10,8 @@
 use super::request_table::PendingRequest;
 use super::RequestNumber;
 use crate::body::Payload;
-use crate::metrics::outcome_name;
+use crate::log::{rejection_line, request_line};
+use crate::metrics::{outcome_name, CloseReason};
 use crate::servers::Servers;
 
 /// An attempt that has ended without a response for the client.
@@ -30,23 +31,46 @@
     response: &ClientResponse,
     servers: &Servers,
 ) {
+    let write_line = match response {
+        ClientResponse::Rejected { .. } => rejection_line,
+        _ => request_line,
+    };
     if let Some(ending) = ending_of(response) {
-        log_ending(number, request, ending, servers);
+        log_ending(number, request, ending, servers, write_line);
     }
 }
 
-/// Logs a request whose client left before it was answered.
-pub fn log_abandoned(number: RequestNumber, request: &PendingRequest, servers: &Servers) {
-    log_ending(number, request, "left by its client", servers);
+/// Logs a request whose connection ended before it was answered.
+pub fn log_abandoned(
+    number: RequestNumber,
+    request: &PendingRequest,
+    reason: CloseReason,
+    servers: &Servers,
+) {
+    let ending = match reason {
+        CloseReason::ClientLeft | CloseReason::Finished => "left by its client",
+        CloseReason::Broken => "left unanswered, as its connection broke,",
+        CloseReason::HeadTimeout => "left unanswered by a head timeout",
+        CloseReason::Evicted => "left unanswered, as its connection was evicted,",
+        CloseReason::Draining => "left unanswered by the drain",
+        CloseReason::ResponseBroken => "left unanswered, as an earlier response broke off,",
+    };
+    log_ending(number, request, ending, servers, request_line);
 }
 
-fn log_ending(number: RequestNumber, request: &PendingRequest, ending: &str, servers: &Servers) {
+fn log_ending(
+    number: RequestNumber,
+    request: &PendingRequest,
+    ending: &str,
+    servers: &Servers,
+    write_line: fn(fmt::Arguments<'_>),
+) {
     let id = request.upstream.headers.get("x-txn");
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("without id");
     let elapsed = request.arrived_at.elapsed().as_secs_f64();
     let attempts = AttemptList { request, servers };
     let body = BodyProgress(request);
-    crate::log::request_line(format_args!(
+    write_line(format_args!(
         "request {} ({id}) {ending} after {elapsed:.3} s{body}; attempts: {attempts}",
         number.0
     ));
--- a/src/bin/load-balancer/event_loop/requests.rs
+++ b/src/bin/load-balancer/event_loop/requests.rs
@@ -8,7 +8,8 @@
 
 use super::clock::micros_until;
 use super::messages::{
-    AttemptEnded, ClientResponse, HealthCheckEnded, RequestArrived, RequestComplete, RequestNumber,
+    AttemptEnded, ClientDisconnected, ClientResponse, HealthCheckEnded, RequestArrived,
+    RequestComplete, RequestNumber,
 };
 use super::request_log::{log_abandoned, log_unserved, FailedAttempt};
 use super::request_table::PendingRequest;
@@ -140,12 +141,13 @@
         self.remove_if_finished(number);
     }
 
-    pub(super) fn client_disconnected(&mut self, number: RequestNumber) {
+    pub(super) fn client_disconnected(&mut self, message: &ClientDisconnected) {
+        let &ClientDisconnected { number, reason } = message;
         if self.take_reply(number).is_none() {
             return;
         }
         if let Some(request) = self.requests.get_mut(number) {
-            log_abandoned(number, request, &self.servers);
+            log_abandoned(number, request, reason, &self.servers);
         }
         self.events
             .push_back(Event::RequestAbandoned(number.to_id()));
--- a/src/bin/load-balancer/log.rs
+++ b/src/bin/load-balancer/log.rs
@@ -1,6 +1,6 @@
 //! The log: lines on standard error, limited per second.
 //!
-//! Lines about single requests have a limit of their own, so that many of them can't crowd out the lines about the node.
+//! Lines about single requests have limits of their own, so that many of one kind can't crowd out the others.
 
 use std::fmt::Arguments;
 use std::sync::Mutex;
@@ -13,6 +13,10 @@
 static NODE_LINES: Mutex<LineLimit> = Mutex::new(LineLimit::new("log lines", 20));
 /// Lines about requests that were not served.
 static REQUEST_LINES: Mutex<LineLimit> = Mutex::new(LineLimit::new("lines about requests", 5));
+/// Lines about rejected requests: an overloaded node has so many of them that they would crowd out those about requests
+/// that failed.
+static REJECTION_LINES: Mutex<LineLimit> =
+    Mutex::new(LineLimit::new("lines about rejected requests", 5));
 
 /// Counts the lines of one kind in the current window.
 struct LineLimit {
@@ -71,6 +75,11 @@
     write_within(&REQUEST_LINES, text);
 }
 
+/// Writes a line about a rejected request, or drops it if the limit of such lines is reached.
+pub fn rejection_line(text: Arguments<'_>) {
+    write_within(&REJECTION_LINES, text);
+}
+
 fn write_within(limit: &Mutex<LineLimit>, text: Arguments<'_>) {
     let Ok(mut limit) = limit.lock() else {
         return;
--- a/src/bin/load-balancer/metrics/close_reason.rs
+++ b/src/bin/load-balancer/metrics/close_reason.rs
@@ -5,7 +5,7 @@
 pub enum CloseReason {
     /// The last response announced the end, or the client closed between requests.
     Finished,
-    /// The client left while a request was pending.
+    /// The client left while a request was pending, or in the middle of one.
     ClientLeft,
     /// No complete head of a request came in time.
     HeadTimeout,
@@ -15,17 +15,20 @@
     Evicted,
     /// The node drains.
     Draining,
+    /// A response broke off at its server after it had begun to be passed on.
+    ResponseBroken,
 }
 
 impl CloseReason {
     /// All reasons, in the order of the metrics.
-    pub const ALL: [CloseReason; 6] = [
+    pub const ALL: [CloseReason; 7] = [
         CloseReason::Finished,
         CloseReason::ClientLeft,
         CloseReason::HeadTimeout,
         CloseReason::Broken,
         CloseReason::Evicted,
         CloseReason::Draining,
+        CloseReason::ResponseBroken,
     ];
 
     /// The reason's label in the metrics and its name in the log.
@@ -37,6 +40,7 @@
             CloseReason::Broken => "broken",
             CloseReason::Evicted => "evicted",
             CloseReason::Draining => "draining",
+            CloseReason::ResponseBroken => "response-broken",
         }
     }
 
