Tests: three that fail for requests whose connection ends without a response (85b63e)

Added: broken responses in all forms, malformed ones as raw bytes, and the ends that the node brings about (SIGTERM, also in series, standby, SIGHUP in series, a server that goes) against what the client is doing.

--- /dev/null
+++ b/tests/node/connection_ends.rs
@@ -0,0 +1,401 @@
+//! Each way in which the node ends a client's connection by itself, against what the client is doing at that moment: no
+//! request that the node has read ends without a response.
+//!
+//! `CONNECTION_END_SWEEP=1` plays the whole sweep; a run of all tests plays a part of it.
+
+use super::common::received::{kind_of_close, ConnectionEnd};
+use super::*;
+
+/// Plays at the same time, each at a node of its own.
+const PARALLEL_PLAYS: usize = 24;
+/// Deadline of all classes, in milliseconds.
+const DEADLINE_MS: u64 = 1_000;
+/// SIGKILL comes at the earliest this long after SIGTERM, beside the longest deadline.
+const KILL_DELAY: Duration = Duration::from_millis(700);
+/// A client waits this long for a response or for the end of its connection.
+const CLIENT_PATIENCE: Duration = Duration::from_millis(2_500);
+/// A client sends one request after the other for this long, if its connection stays open.
+const SERIES_TIME: Duration = Duration::from_millis(1_800);
+/// Requests that a client sends at once.
+const PIPELINED_REQUESTS: usize = 3;
+/// Length of a body that the node passes on while it arrives.
+const LONG_BODY: usize = 200_000;
+
+/// What makes the node end its connections.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Event {
+    /// Nothing but the time that the first request may take.
+    None,
+    Sigterm,
+    /// SIGTERM three times, 0.2 s apart.
+    SigtermSeries,
+    /// SIGHUP three times, 0.2 s apart.
+    SighupSeries,
+    Standby,
+    /// A standby that ends after 0.4 s.
+    ShortStandby,
+    /// The only server is terminated, according to the list.
+    ServerGone,
+}
+
+/// What a client does on its connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Action {
+    /// One request at once.
+    Request,
+    /// A request whose head comes in two parts, this many milliseconds apart.
+    TwoParts(u64),
+    /// Several requests at once.
+    Pipelined,
+    /// A request, and with it the beginning of the next one, whose rest comes 0.1 s later.
+    NextBegun,
+    /// One request after the other.
+    Series,
+    /// A request with a long body that takes 0.3 s.
+    Upload,
+    /// A request that the node answers with status 404, and another one with it.
+    UnknownPathAndRequest,
+}
+
+/// One client at a node.
+#[derive(Clone, Copy, Debug)]
+struct Play {
+    event: Event,
+    action: Action,
+    /// When the client begins, in milliseconds after the event.
+    begins_ms: i64,
+    /// Whether the connection has carried a request before.
+    has_served: bool,
+    /// Time from a request to its response, in milliseconds.
+    response_ms: u64,
+}
+
+/// What became of a client's requests.
+#[derive(Debug, Default)]
+struct Outcome {
+    /// Requests whose last byte was written.
+    written: usize,
+    /// Statuses of the complete responses.
+    statuses: Vec<u16>,
+    end: Option<ConnectionEnd>,
+}
+
+impl Outcome {
+    /// What went wrong: a request that was read has no response.
+    fn fault(&self) -> Option<String> {
+        let is_lost = match self.end {
+            Some(ConnectionEnd::ClosedOverUnread) => false,
+            _ => self.statuses.len() < self.written,
+        };
+        is_lost.then(|| format!("{self:?}"))
+    }
+}
+
+struct Client {
+    input: BufReader<TcpStream>,
+    output: TcpStream,
+    outcome: Outcome,
+}
+
+impl Client {
+    fn connect(addr: SocketAddr) -> Client {
+        let output = connect(addr);
+        output.set_read_timeout(Some(CLIENT_PATIENCE)).unwrap();
+        output.set_nodelay(true).unwrap();
+        Client {
+            input: BufReader::new(output.try_clone().unwrap()),
+            output,
+            outcome: Outcome::default(),
+        }
+    }
+
+    /// Writes bytes with which this many requests are complete. They count if the connection takes them.
+    fn write(&mut self, bytes: &[u8], completes: usize) {
+        if self.output.write_all(bytes).is_ok() {
+            self.outcome.written += completes;
+        }
+    }
+
+    /// Reads the next response. Returns whether it came; otherwise the connection has ended.
+    fn read_response(&mut self) -> bool {
+        self.read_message().is_some()
+    }
+
+    fn read_message(&mut self) -> Option<Message> {
+        let has_begun = self.input.fill_buf().map(|bytes| !bytes.is_empty());
+        let response = match has_begun {
+            Ok(true) => Message::read(&mut self.input),
+            _ => None,
+        };
+        if let Some(response) = response {
+            self.outcome.statuses.push(response.status());
+            return Some(response);
+        }
+        self.outcome.end = Some(match has_begun {
+            Ok(false) => kind_of_close(&self.output),
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => {
+                ConnectionEnd::ClosedOverUnread
+            }
+            _ => ConnectionEnd::None,
+        });
+        None
+    }
+
+    fn read_responses(&mut self) {
+        while self.outcome.statuses.len() < self.outcome.written && self.read_response() {}
+    }
+
+    fn act(&mut self, action: Action) {
+        let request = || request("look", &new_id(), DEADLINE_MS);
+        match action {
+            Action::Request => self.write(&request(), 1),
+            Action::TwoParts(pause_ms) => {
+                let text = request();
+                let (first, rest) = text.split_at(text.len() / 2);
+                self.write(first, 0);
+                thread::sleep(Duration::from_millis(pause_ms));
+                self.write(rest, 1);
+            }
+            Action::Pipelined => {
+                let texts: Vec<u8> = (0..PIPELINED_REQUESTS).flat_map(|_| request()).collect();
+                self.write(&texts, PIPELINED_REQUESTS);
+            }
+            Action::NextBegun => {
+                let next = request();
+                let (first, rest) = next.split_at(next.len() / 2);
+                self.write(&[&request(), first].concat(), 1);
+                thread::sleep(Duration::from_millis(100));
+                self.write(rest, 1);
+            }
+            Action::Series => {
+                let until = Instant::now() + SERIES_TIME;
+                while Instant::now() < until {
+                    self.write(&request(), 1);
+                    let response = self.read_message();
+                    // A connection whose end is announced is not used again.
+                    if response.is_none_or(|response| response.header("connection") == "close") {
+                        break;
+                    }
+                    thread::sleep(Duration::from_millis(3));
+                }
+            }
+            Action::Upload => {
+                let head = post(
+                    "pay",
+                    &new_id(),
+                    DEADLINE_MS,
+                    &format!("Content-Length: {LONG_BODY}\r\n"),
+                );
+                self.write(&head, 0);
+                let body = body_of(LONG_BODY);
+                let (last, parts) = body.split_last().unwrap();
+                for part in parts.chunks(LONG_BODY / 10) {
+                    thread::sleep(Duration::from_millis(30));
+                    self.write(part, 0);
+                }
+                self.write(&[*last], 1);
+            }
+            Action::UnknownPathAndRequest => {
+                let unknown = b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n";
+                self.write(&[&unknown[..], &request()].concat(), 2);
+            }
+        }
+        self.read_responses();
+    }
+}
+
+impl Play {
+    /// Serves requests, each after the time of this play.
+    fn start_server(self) -> SocketAddr {
+        let (addr, connections) = scripted_listener();
+        thread::spawn(move || {
+            for stream in connections {
+                thread::spawn(move || self.serve(stream));
+            }
+        });
+        addr
+    }
+
+    fn serve(self, mut stream: TcpStream) {
+        let mut input = BufReader::new(stream.try_clone().unwrap());
+        while let Some(request) = Message::read(&mut input) {
+            thread::sleep(Duration::from_millis(self.response_ms));
+            let response = ok_response(request.header("x-txn"));
+            if stream.write_all(response.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Plays the client. Returns what went wrong.
+    fn run(self) -> Option<String> {
+        let addr = self.start_server();
+        let mut fixture = NodeFixture::configured(0, &ADMIN_ENV, |config| {
+            config["known"]["members"] = json!([member_at("s-0", addr)]);
+            config["settings"]["registry-mode"] = json!("push");
+            for class in config["settings"]["classes"].as_array_mut().unwrap() {
+                class["deadline"] = json!(DEADLINE_MS * 1_000);
+                class["aim"] = json!(DEADLINE_MS * 500);
+            }
+        });
+        fixture.members = vec![member_at("s-0", addr)];
+        let (_, mut watch) = fixture.watch();
+        let mut client = Client::connect(fixture.addr);
+        if self.has_served {
+            client.act(Action::Request);
+        }
+        let lead = Duration::from_millis(self.begins_ms.min(0).unsigned_abs());
+        let delay = Duration::from_millis(self.begins_ms.max(0) as u64);
+        let action = self.action;
+        let acting = thread::spawn(move || {
+            thread::sleep(delay);
+            client.act(action);
+            client.outcome
+        });
+        thread::sleep(lead);
+        self.cause(&mut fixture, &mut watch);
+        let outcome = acting.join().unwrap();
+        let fault = outcome.fault();
+        fault.map(|fault| format!("{self:?}: {fault}; {:?}", fixture.log.lines()))
+    }
+
+    /// Makes the event happen, up to SIGKILL after SIGTERM.
+    fn cause(self, fixture: &mut NodeFixture, watch: &mut TcpStream) {
+        let pause = || thread::sleep(Duration::from_millis(200));
+        match self.event {
+            Event::None => {}
+            Event::Sigterm | Event::SigtermSeries => {
+                let kill_at = Instant::now() + Duration::from_millis(DEADLINE_MS) + KILL_DELAY;
+                fixture.signal("-TERM");
+                if self.event == Event::SigtermSeries {
+                    for _ in 0..2 {
+                        pause();
+                        // The process may have ended.
+                        if fixture.node.try_wait().unwrap().is_none() {
+                            fixture.signal("-TERM");
+                        }
+                    }
+                }
+                thread::sleep(kill_at - Instant::now());
+                fixture.kill();
+            }
+            Event::SighupSeries => {
+                for _ in 0..3 {
+                    fixture.signal("-HUP");
+                    pause();
+                }
+            }
+            Event::Standby => {
+                fixture.admin_call("POST /standby");
+            }
+            Event::ShortStandby => {
+                fixture.admin_call("POST /standby");
+                pause();
+                pause();
+                fixture.admin_call("POST /active");
+            }
+            Event::ServerGone => {
+                let change = fixture.change_phase(0, "terminated", 42);
+                write_chunk(watch, &change);
+            }
+        }
+    }
+}
+
+fn play(plays: &[Play]) -> Vec<String> {
+    let mut faults = Vec::new();
+    for group in plays.chunks(PARALLEL_PLAYS) {
+        let running: Vec<_> = group
+            .iter()
+            .map(|&play| thread::spawn(move || play.run()))
+            .collect();
+        faults.extend(running.into_iter().filter_map(|play| play.join().unwrap()));
+    }
+    println!("{} of {} plays failed", faults.len(), plays.len());
+    faults
+}
+
+// Guards against a request that was read and whose connection is ended by the node without a response.
+#[test]
+fn no_request_that_was_read_ends_with_its_connection() {
+    let is_whole = std::env::var("CONNECTION_END_SWEEP").is_ok();
+    let faults = play(&sweep(is_whole));
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+fn sweep(is_whole: bool) -> Vec<Play> {
+    let events = [
+        Event::Sigterm,
+        Event::SigtermSeries,
+        Event::Standby,
+        Event::ShortStandby,
+        Event::SighupSeries,
+        Event::ServerGone,
+    ];
+    let actions = [
+        Action::Request,
+        Action::TwoParts(30),
+        Action::TwoParts(700),
+        Action::Pipelined,
+        Action::NextBegun,
+        Action::Series,
+        Action::Upload,
+        Action::UnknownPathAndRequest,
+    ];
+    // Idle connections are closed 600 ms after the beginning of a drain.
+    let moments: &[i64] = if is_whole {
+        &[
+            -500, -50, -1, 0, 300, 550, 590, 597, 599, 600, 601, 603, 610, 650, 900,
+        ]
+    } else {
+        &[-50, 599]
+    };
+    let response_times: &[u64] = if is_whole { &[40, 400] } else { &[40] };
+    let mut plays = Vec::new();
+    for event in events {
+        for action in actions {
+            for &begins_ms in moments {
+                for &response_ms in response_times {
+                    for has_served in [false, true] {
+                        plays.push(Play {
+                            event,
+                            action,
+                            begins_ms,
+                            has_served,
+                            response_ms,
+                        });
+                    }
+                }
+            }
+        }
+    }
+    plays.retain(|play| is_whole || play.has_served);
+    plays.extend(first_requests(is_whole));
+    plays
+}
+
+/// First requests round the moment at which a connection without one is closed.
+fn first_requests(is_whole: bool) -> Vec<Play> {
+    let moments: &[i64] = if is_whole {
+        &[
+            2_300, 2_450, 2_490, 2_497, 2_498, 2_499, 2_500, 2_501, 2_503, 2_510,
+        ]
+    } else {
+        &[2_490, 2_500]
+    };
+    let actions = [
+        Action::Request,
+        Action::TwoParts(30),
+        Action::Pipelined,
+        Action::Upload,
+    ];
+    let play = |action, begins_ms| Play {
+        event: Event::None,
+        action,
+        begins_ms,
+        has_served: false,
+        response_ms: 40,
+    };
+    let of_moment = |&begins_ms: &i64| actions.map(|action| play(action, begins_ms));
+    moments.iter().flat_map(of_moment).collect()
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -4,8 +4,10 @@
 mod common;
 
 mod bodies;
+mod broken_responses;
 mod clients;
 mod configuration;
+mod connection_ends;
 mod crowd;
 mod descriptors;
 mod disconnect_timing;
@@ -16,6 +18,7 @@
 mod floods;
 mod late_bodies;
 mod long_drains;
+mod malformed_responses;
 mod memory_limit;
 mod operators;
 mod repeated_ids;
