Node: a streamed response that breaks off reaches its client as far as it came

Cause: a response that is not buffered (its length over 64 KiB by Content-Length, or more than that received) is handed to the HTTP library with its first bytes. Where the body fails in the same step, the library ends the connection and drops head and bytes that it has not written, and the node resets the connection. The request counts as lost: nothing of an answer was passed on.

Change: the failure is told to the library only once the socket has taken what was handed over, the head included; the connection's own flush wakes the body. The client gets what came and then the reset, by which it can tell.

--- a/src/bin/load-balancer/body/response.rs
+++ b/src/bin/load-balancer/body/response.rs
@@ -75,7 +75,9 @@
         length,
         timer: Box::pin(sleep(STALL_TIMEOUT)),
         is_waiting: false,
-        part_by_part: None,
+        client_connection: None,
+        is_part_by_part: false,
+        failure: None,
         on_end: None,
     })))
 }
@@ -94,8 +96,12 @@
     timer: Pin<Box<Sleep>>,
     /// Whether `timer` is set: the node waits for the server.
     is_waiting: bool,
-    /// The client's connection, where each part waits until it has taken the last one.
-    part_by_part: Option<Rc<ConnectionState>>,
+    /// The client's connection, once the body is passed on.
+    client_connection: Option<Rc<ConnectionState>>,
+    /// Whether each part waits until the connection has taken the last one.
+    is_part_by_part: bool,
+    /// Why the body broke off, until that may be told to the connection.
+    failure: Option<BodyError>,
     on_end: Option<OnEnd>,
 }
 
@@ -111,9 +117,15 @@
         }));
     }
 
+    /// Passes the body on to this connection, together with the head of the response.
+    pub fn pass_on_to(&mut self, connection: Rc<ConnectionState>) {
+        connection.part_handed_over();
+        self.client_connection = Some(connection);
+    }
+
     /// Passes on each part only when the connection has taken the last one, so that the response holds little memory.
-    pub fn pass_on_part_by_part(&mut self, connection: Rc<ConnectionState>) {
-        self.part_by_part = Some(connection);
+    pub fn pass_on_part_by_part(&mut self) {
+        self.is_part_by_part = true;
     }
 
     fn end(&mut self, outcome: RequestOutcome) {
@@ -123,16 +135,33 @@
     }
 
     fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
-        if let Some(connection) = &self.part_by_part {
-            ready!(connection.poll_part_taken(cx));
+        if self.is_part_by_part {
+            ready!(self.poll_part_taken(cx));
+        }
+        let part = match self.failure {
+            Some(error) => Some(Err(error)),
+            None => ready!(self.poll_next(cx)),
+        };
+        if let Some(Err(error)) = part {
+            self.failure = Some(error);
+            // At an error the HTTP library ends the connection and drops what it has not written: the client would get
+            // nothing of a response whose head was handed over just now.
+            ready!(self.poll_part_taken(cx));
         }
-        let part = ready!(self.poll_next(cx));
-        if let Some(connection) = &self.part_by_part {
+        if let Some(connection) = &self.client_connection {
             connection.part_handed_over();
         }
         Poll::Ready(part)
     }
 
+    /// Waits until the socket has taken all that was handed over, the head included.
+    fn poll_part_taken(&self, cx: &mut Context<'_>) -> Poll<()> {
+        match &self.client_connection {
+            Some(connection) => connection.poll_part_taken(cx),
+            None => Poll::Ready(()),
+        }
+    }
+
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         if let Some(part) = self.received.pop() {
             return Poll::Ready(Some(Ok(part)));
--- a/src/bin/load-balancer/clients.rs
+++ b/src/bin/load-balancer/clients.rs
@@ -530,8 +530,9 @@
             }) => {
                 match self.memory.reserve_response() {
                     Some(memory) => client_connection.hold_until_flushed(memory),
-                    None => streamed.pass_on_part_by_part(client_connection.clone()),
+                    None => streamed.pass_on_part_by_part(),
                 }
+                streamed.pass_on_to(client_connection.clone());
                 request_guard.streaming_begins();
                 let client_connection = client_connection.clone();
                 streamed.on_end(move |outcome| {
