Node: a response in an unknown transfer coding is a failed attempt

What callers saw: a wrong answer, status 200 with the coded bytes of the server ('5, hello, 0' in place of 'hello' for the codings 'chunked, gzip').

Cause: the HTTP library decodes 'chunked' alone and reads any other coding up to the end of the connection; the node drops the header Transfer-Encoding, as it is hop-by-hop, and passes the coded bytes on as the body.

Change: such a response is one that can't be read: the attempt ends as broken, and may have run.

--- a/src/bin/load-balancer/servers/exchange.rs
+++ b/src/bin/load-balancer/servers/exchange.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::header::{HeaderMap, HeaderValue, HOST};
+use hyper::header::{HeaderMap, HeaderValue, HOST, TRANSFER_ENCODING};
 use hyper::{Request, StatusCode};
 use load_balancer::Outcome;
 use tokio::time::Instant;
@@ -86,7 +86,11 @@
     let (head, body) = response.into_parts();
     // The timeout of the attempt ends where a long response begins: from here on the server is only slow.
     let pass_on_by = deadline.map(|deadline| deadline - PASS_ON_MARGIN);
-    match receive_response_body(body, memory, pass_on_by).await {
+    let received = match has_readable_coding(&head.headers) {
+        true => receive_response_body(body, memory, pass_on_by).await,
+        false => None,
+    };
+    match received {
         Some(body) => Exchange::Response(head.status, head.headers, body),
         // The response broke off before the request was completely written: the server can't have run it.
         None if !connection.progress.is_fully_written() => Exchange::Unsent,
@@ -94,6 +98,13 @@
     }
 }
 
+/// Whether the body has no transfer coding, or the one that the HTTP library decodes. It passes on others as they are, and
+/// they are lost with their header, which is hop-by-hop.
+pub(super) fn has_readable_coding(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    codings.all(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// The outcome of an attempt by its response. Only the header `X-Turned-Away: 1` proves that the server rejected the
 /// request without running it: a 503 or 504 without the header may come from a request that ran.
 pub(super) fn response_outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
