--- a/src/bin/load-balancer/clients.rs
+++ b/src/bin/load-balancer/clients.rs
@@ -2,19 +2,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::convert::Infallible;
-use std::future::Future;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use load_balancer::{ClassId, Idempotency, TenantId};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -26,12 +20,12 @@
 };
 use crate::client_liveness::ClientLiveness;
 use crate::config::RuntimeConfig;
-use crate::connection::{ClientSocket, ConnectionState, FIRST_REQUEST_TIMEOUT};
+use crate::connection::ConnectionState;
 use crate::connection_memory::ConnectionMemory;
 use crate::descriptors::Descriptors;
 use crate::event_loop::{ClientResponse, Message, RequestArrived, RequestComplete, RequestNumber};
 use crate::memory_budget::MemoryReservation;
-use crate::metrics::{CloseReason, Metrics, Refusal, RequestOutcome};
+use crate::metrics::{Metrics, Refusal, RequestOutcome};
 use crate::servers::{Servers, UpstreamRequest, UpstreamResponse};
 use crate::shutdown_deadline::ShutdownDeadline;
 use crate::task::{AbortOnDrop, Budget};
@@ -40,18 +34,13 @@
 mod accept;
 mod guards;
 mod messages;
+mod serve;
 
-use guards::{ConnectionGuard, RequestGuard, RequestIdentity};
+use guards::{RequestGuard, RequestIdentity};
 use messages::{
     body_error_response, remove_hop_by_hop_headers, routing_key, text_response, upstream_response,
 };
 
-/// Longest head of a request, in bytes.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// Most header fields of a request.
-const MAX_HEADERS: usize = 64;
-/// Longest wait for a request's head, idle time between requests included.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 /// Subtracted from the client's remaining time, so that a response reaches the client before it gives up:
 /// the client counts from when it sent the request, the node from when it read it, and the response takes
 /// time to travel back.
@@ -59,9 +48,6 @@
 /// Time from the start of a drain until idle connections are closed: the platform's front end still sends
 /// new connections and requests for up to 0.4 s after the drain has begun.
 const DRAIN_DELAY: Duration = Duration::from_millis(600);
-/// Longest wait for the head of the request on a connection that gets only one request answered: a connection
-/// past the budget, whose request is rejected, or one accepted while idle connections are being closed.
-const LAST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// The `Retry-After` of a request that was rejected because the node has no room for it.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -159,103 +145,6 @@
         *self.config.borrow_mut() = config;
     }
 
-    /// Serves a connection until it ends. With `reject`, its first request is rejected, which closes it.
-    async fn serve(self: Rc<Self>, stream: TcpStream, guard: ConnectionGuard, reject: bool) {
-        // A connection accepted while idle ones are being closed still gets one request answered: a request
-        // written to it in the backlog counts as accepted.
-        let only_one_request = self.closing_idle.get();
-        let client_connection = Rc::new(ConnectionState::new(self.memory.clone()));
-        let number = self.next_number();
-        if reject {
-            self.rejected_connections
-                .borrow_mut()
-                .insert(number, client_connection.clone());
-        } else {
-            self.open_connections
-                .borrow_mut()
-                .insert(number, client_connection.clone());
-        }
-        let stream = Rc::new(stream);
-        let (clients, connection_state, socket) =
-            (self.clone(), client_connection.clone(), stream.clone());
-        let service = service_fn(move |request| {
-            let (clients, client_connection, socket) =
-                (clients.clone(), connection_state.clone(), socket.clone());
-            async move {
-                client_connection.take_turn().await;
-                let mut response = if reject {
-                    let class = clients.class_of(request.headers());
-                    clients.metrics.refused(class, Refusal::NoConnection);
-                    clients.rejection(Some(OVERLOAD_RETRY_AFTER))
-                } else {
-                    // Boxed, as each idle connection would hold the memory of a request in progress.
-                    Box::pin(clients.handle(request, &client_connection, &socket)).await
-                };
-                // A streamed response reports its end itself.
-                if matches!(response.body(), ResponseBody::Buffered(_)) {
-                    client_connection.request_answered();
-                }
-                if reject || clients.draining.get() || response.status().is_client_error() {
-                    response
-                        .headers_mut()
-                        .insert(header::CONNECTION, HeaderValue::from_static("close"));
-                }
-                Ok::<_, Infallible>(response)
-            }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(if reject || only_one_request {
-                LAST_REQUEST_TIMEOUT
-            } else {
-                HEAD_TIMEOUT
-            })
-            .max_buf_size(MAX_HEAD_BYTES)
-            .max_headers(MAX_HEADERS)
-            .serve_connection(
-                TokioIo::new(ClientSocket::new(
-                    stream.clone(),
-                    client_connection.clone(),
-                    self.metrics.clone(),
-                )),
-                service,
-            );
-        let mut connection = std::pin::pin!(connection);
-        let mut client_left = std::pin::pin!(client_connection.client_closed(&stream));
-        let (ended, reason) = tokio::select! {
-            reason = serve_while_connected(connection.as_mut(), client_left.as_mut()) => (true, reason),
-            () = client_connection.first_request_timed_out() => {
-                self.metrics.head_timeouts.increment();
-                (true, CloseReason::HeadTimeout)
-            }
-            () = client_connection.close_requested.notified() => {
-                (!client_connection.has_sent_request(), CloseReason::Evicted)
-            }
-            () = self.close_idle.notified(), if !only_one_request => (false, CloseReason::Draining),
-        };
-        client_connection.closed(reason);
-        self.metrics.connection_closed(reason);
-        // A request whose head has begun to arrive is still served; its response closes the connection.
-        let head_in_progress = !ended && client_connection.is_sending_head();
-        let ended = ended
-            || (head_in_progress
-                && timeout(
-                    FIRST_REQUEST_TIMEOUT,
-                    serve_while_connected(connection.as_mut(), client_left.as_mut()),
-                )
-                .await
-                .is_ok())
-            || client_connection.is_sending_head();
-        if !ended {
-            // An idle connection closes at once, another one after its response.
-            connection.as_mut().graceful_shutdown();
-            client_connection.closed(serve_while_connected(connection, client_left).await);
-        }
-        self.open_connections.borrow_mut().remove(&number);
-        self.rejected_connections.borrow_mut().remove(&number);
-        drop(guard);
-    }
-
     fn next_number(&self) -> u64 {
         let number = self.next_id.get();
         self.next_id.set(number + 1);
@@ -678,21 +567,3 @@
 fn longest_transfer() -> Duration {
     time_at_min_rate(MAX_BODY_BYTES)
 }
-
-/// Polls a connection until it ends or its client disconnects during a request.
-async fn serve_while_connected(
-    connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
-    client_left: Pin<&mut impl Future>,
-) -> CloseReason {
-    tokio::select! {
-        biased;
-        served = connection => match served {
-            Ok(()) => CloseReason::Finished,
-            Err(error) if error.is_timeout() => CloseReason::HeadTimeout,
-            Err(error) if error.is_user() => CloseReason::ResponseBroken,
-            Err(error) if error.is_incomplete_message() => CloseReason::ClientLeft,
-            Err(_) => CloseReason::Broken,
-        },
-        _ = client_left => CloseReason::ClientLeft,
-    }
-}
