Clients: requests that were read are answered before their connection ends

What callers saw: of requests that were sent at once, those behind one whose response closed the connection got no response although the node had read them: during a drain or a standby, behind a status 404, and on a connection that is only rejected.

Cause: the response announced the end of the connection, or the drain shut its keep-alive off, by the state of the pending request alone; the HTTP library held later ones in its buffer and dropped them. What was read together with a request was forgotten when it was answered, so that the beginning of the next one counted for nothing.

Change: RequestInput follows the framing of all that is read (heads, bodies by length) and tells whether a request lies behind the pending one. A response ends the connection only where none does; a connection that is to close is served until it is at rest, or 2.5 s without a whole head. A connection without room gets 100 rejections at the most. Behind a chunked body nothing is known until it is answered, as before.

Evidence: plays in which the client's connection ended by a close with no reset behind it, so that all its bytes had been read.

--- a/src/bin/load-balancer/clients/serve.rs
+++ b/src/bin/load-balancer/clients/serve.rs
@@ -1,9 +1,11 @@
 //! Serving one client connection, from its first request to its end.
 
+use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::header::{self, HeaderValue};
@@ -11,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::sleep;
 
 use super::guards::ConnectionGuard;
 use super::{Clients, OVERLOAD_RETRY_AFTER};
@@ -29,6 +31,9 @@
 /// past the budget, whose request is rejected, or one accepted while idle connections are being closed.
 const LAST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Most requests that are rejected on a connection without room, so that a client that goes on sending does not keep it.
+const MAX_REJECTED_REQUESTS: u32 = 100;
+
 impl Clients {
     /// Serves a connection until it ends. With `reject`, its first request is rejected, which closes it.
     pub(super) async fn serve(
@@ -54,9 +59,12 @@
         let stream = Rc::new(stream);
         let (clients, connection_state, socket) =
             (self.clone(), client_connection.clone(), stream.clone());
+        let rejected_requests = Cell::new(0);
         let service = service_fn(move |request| {
             let (clients, client_connection, socket) =
                 (clients.clone(), connection_state.clone(), socket.clone());
+            rejected_requests.set(rejected_requests.get() + u32::from(reject));
+            let is_last_rejection = rejected_requests.get() >= MAX_REJECTED_REQUESTS;
             async move {
                 client_connection.take_turn().await;
                 let mut response = if reject {
@@ -67,15 +75,17 @@
                     // Boxed, as each idle connection would hold the memory of a request in progress.
                     Box::pin(clients.handle(request, &client_connection, &socket)).await
                 };
-                // A streamed response reports its end itself.
-                if matches!(response.body(), ResponseBody::Buffered(_)) {
-                    client_connection.request_answered();
-                }
-                if reject || clients.draining.get() || response.status().is_client_error() {
+                let is_last =
+                    reject || clients.draining.get() || response.status().is_client_error();
+                if is_last && (is_last_rejection || client_connection.may_end_now()) {
                     response
                         .headers_mut()
                         .insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
+                // A streamed response reports its end itself.
+                if matches!(response.body(), ResponseBody::Buffered(_)) {
+                    client_connection.request_answered();
+                }
                 Ok::<_, Infallible>(response)
             }
         });
@@ -111,21 +121,21 @@
         };
         client_connection.closed(reason);
         self.metrics.connection_closed(reason);
-        // A request whose head has begun to arrive is still served; its response closes the connection.
-        let head_in_progress = !ended && client_connection.is_sending_head();
-        let ended = ended
-            || (head_in_progress
-                && timeout(
-                    FIRST_REQUEST_TIMEOUT,
-                    serve_while_connected(connection.as_mut(), client_left.as_mut()),
-                )
-                .await
-                .is_ok())
-            || client_connection.is_sending_head();
         if !ended {
-            // An idle connection closes at once, another one after its response.
-            connection.as_mut().graceful_shutdown();
-            client_connection.closed(serve_while_connected(connection, client_left).await);
+            let served = serve_to_rest(
+                &client_connection,
+                connection.as_mut(),
+                client_left.as_mut(),
+            )
+            .await;
+            let end = match served {
+                Some(end) => end,
+                None => {
+                    connection.as_mut().graceful_shutdown();
+                    serve_while_connected(connection, client_left).await
+                }
+            };
+            client_connection.closed(end);
         }
         self.open_connections.borrow_mut().remove(&number);
         self.rejected_connections.borrow_mut().remove(&number);
@@ -133,6 +143,31 @@
     }
 }
 
+/// Serves a connection that is to close until it is at rest: requests that were read, or read in part, are answered first.
+/// Returns why it has ended, or `None` if it is at rest.
+async fn serve_to_rest(
+    client_connection: &ConnectionState,
+    mut connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
+    mut client_left: Pin<&mut impl Future>,
+) -> Option<CloseReason> {
+    loop {
+        // Needs no waker: whatever changes its result happens when the connection is polled.
+        let at_rest = poll_fn(|_| match client_connection.is_at_rest() {
+            true => Poll::Ready(()),
+            false => Poll::Pending,
+        });
+        tokio::select! {
+            biased;
+            end = serve_while_connected(connection.as_mut(), client_left.as_mut()) => return Some(end),
+            () = at_rest => return None,
+            () = sleep(FIRST_REQUEST_TIMEOUT) => {}
+        }
+        if client_connection.is_sending_head() {
+            return Some(CloseReason::HeadTimeout);
+        }
+    }
+}
+
 /// Polls a connection until it ends or its client disconnects during a request.
 async fn serve_while_connected(
     connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
--- a/src/bin/load-balancer/connection.rs
+++ b/src/bin/load-balancer/connection.rs
@@ -15,12 +15,15 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
 
+use self::request_input::RequestInput;
 use crate::connection_memory::{ConnectionMemory, SHORT_INPUT_BYTES};
 use crate::memory_budget::MemoryReservation;
 use crate::metrics::{CloseReason, Metrics};
 use crate::socket_read;
 use crate::write_stall::{is_stalled, StallGuard};
 
+mod request_input;
+
 /// A client must have sent the head of its first request within this time of connecting: one that sends no
 /// complete request must get an error or a close within 3 s.
 pub const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -30,8 +33,6 @@
 /// When all permits are taken, a connection that has sent requests may be closed once it has been idle for
 /// this long. The platform requires that much.
 const MIN_IDLE_TIME: Duration = Duration::from_secs(2);
-/// Bytes kept of each line of a head: enough to recognize the names of the framing headers.
-const MAX_LINE_PREFIX_BYTES: usize = 24;
 
 /// The state of a client's connection.
 pub struct ConnectionState {
@@ -44,8 +45,8 @@
     read_bytes: Cell<u64>,
     /// Whether anything was read from the socket since the last request.
     has_read: Cell<bool>,
-    /// The head that is being received, or was received last.
-    head: RefCell<Head>,
+    /// The requests that are being received.
+    input: RefCell<RequestInput>,
     /// Whether a response broke after its first bytes were sent: the connection is reset, so that the client
     /// can tell.
     response_broken: Cell<bool>,
@@ -79,7 +80,7 @@
             idle_since: Cell::new(Some(now)),
             read_bytes: Cell::new(0),
             has_read: Cell::new(false),
-            head: RefCell::default(),
+            input: RefCell::default(),
             response_broken: Cell::new(false),
             input_bytes: Cell::new(0),
             memory,
@@ -149,7 +150,7 @@
             .set(self.read_bytes.get() + received.len() as u64);
         self.input_bytes
             .set(self.input_bytes.get() + received.len() as u64);
-        self.head.borrow_mut().scan(received);
+        self.input.borrow_mut().record(received);
         self.reserve_input();
     }
 
@@ -196,7 +197,7 @@
     pub fn request_answered(&self) {
         self.response_sent.set(true);
         self.idle_since.set(Some(Instant::now()));
-        self.head.take();
+        self.input.borrow_mut().answered();
         self.input_bytes.set(0);
     }
 
@@ -215,16 +216,27 @@
         self.read_bytes.get()
     }
 
-    /// Whether a part of the next request's head has been received.
+    /// Whether a part of the next request has been received, and none is pending.
     pub fn is_sending_head(&self) -> bool {
-        self.idle_since.get().is_some() && self.head.borrow().has_begun
+        self.idle_since.get().is_some() && self.input.borrow().has_beyond(0)
+    }
+
+    /// Whether no request is pending and nothing of a next one has been received.
+    pub fn is_at_rest(&self) -> bool {
+        self.idle_since.get().is_some() && !self.input.borrow().has_beyond(0)
+    }
+
+    /// Whether the connection may end with the response to the pending request: a request that was read behind it would
+    /// get none. Where the request has two framings, nobody knows what comes behind it.
+    pub fn may_end_now(&self) -> bool {
+        let input = self.input.borrow();
+        input.has_two_framings() || !input.has_beyond(1)
     }
 
     /// Whether the request has both a `Content-Length` and a `Transfer-Encoding`: a server might go by the header
     /// that this node ignores (request smuggling).
     pub fn has_conflicting_framing(&self) -> bool {
-        let head = self.head.borrow();
-        head.has_content_length && head.has_transfer_encoding
+        self.input.borrow().has_two_framings()
     }
 
     /// Since when the node waits for the body of the current request: for the first request since the connection
@@ -261,46 +273,6 @@
     }
 }
 
-/// Searches a request's head for its framing headers while it is being received: the HTTP library follows one
-/// of them and hides the other.
-#[derive(Default)]
-struct Head {
-    /// Whether any byte has been received.
-    has_begun: bool,
-    request_line_received: bool,
-    /// Whether the whole head has been received.
-    complete: bool,
-    /// The start of the current line, in lower case.
-    line_prefix: Vec<u8>,
-    has_content_length: bool,
-    has_transfer_encoding: bool,
-}
-
-impl Head {
-    fn scan(&mut self, bytes: &[u8]) {
-        self.has_begun |= !bytes.is_empty();
-        for &byte in bytes {
-            match byte {
-                _ if self.complete => return,
-                b'\n' => {
-                    self.has_content_length |= self.line_prefix.starts_with(b"content-length:");
-                    self.has_transfer_encoding |=
-                        self.line_prefix.starts_with(b"transfer-encoding:");
-                    // Empty lines before the request line are skipped.
-                    self.complete = self.line_prefix.is_empty() && self.request_line_received;
-                    self.request_line_received |= !self.line_prefix.is_empty();
-                    self.line_prefix.clear();
-                }
-                b'\r' => {}
-                _ if self.line_prefix.len() < MAX_LINE_PREFIX_BYTES => {
-                    self.line_prefix.push(byte.to_ascii_lowercase())
-                }
-                _ => {}
-            }
-        }
-    }
-}
-
 /// A client's socket. Writing fails if the client has stopped reading its response (see [`StallGuard`]).
 pub struct ClientSocket {
     socket: Rc<TcpStream>,
--- a/tests/node/connection_ends.rs
+++ b/tests/node/connection_ends.rs
@@ -18,6 +18,12 @@
 const SERIES_TIME: Duration = Duration::from_millis(1_800);
 /// Requests that a client sends at once.
 const PIPELINED_REQUESTS: usize = 3;
+/// Descriptors of a node, and the clients that it serves at once with them.
+const SOCKETS: u64 = 94;
+const CLIENT_SOCKETS: usize = 7;
+/// Beginning of the ids of requests that their server holds, and how long it does.
+const HELD_ID: &str = "held-";
+const HOLD_TIME: Duration = Duration::from_millis(900);
 /// Length of a body that the node passes on while it arrives.
 const LONG_BODY: usize = 200_000;
 
@@ -36,6 +42,8 @@
     ShortStandby,
     /// The only server is terminated, according to the list.
     ServerGone,
+    /// The node has no room for the client's connection and only rejects what comes on it.
+    NoRoom,
 }
 
 /// What a client does on its connection.
@@ -219,6 +227,9 @@
     fn serve(self, mut stream: TcpStream) {
         let mut input = BufReader::new(stream.try_clone().unwrap());
         while let Some(request) = Message::read(&mut input) {
+            if request.header("x-txn").starts_with(HELD_ID) {
+                thread::sleep(HOLD_TIME);
+            }
             thread::sleep(Duration::from_millis(self.response_ms));
             let response = ok_response(request.header("x-txn"));
             if stream.write_all(response.as_bytes()).is_err() {
@@ -233,6 +244,7 @@
         let mut fixture = NodeFixture::configured(0, &ADMIN_ENV, |config| {
             config["known"]["members"] = json!([member_at("s-0", addr)]);
             config["settings"]["registry-mode"] = json!("push");
+            config["limits"]["sockets"] = json!(SOCKETS);
             for class in config["settings"]["classes"].as_array_mut().unwrap() {
                 class["deadline"] = json!(DEADLINE_MS * 1_000);
                 class["aim"] = json!(DEADLINE_MS * 500);
@@ -240,6 +252,7 @@
         });
         fixture.members = vec![member_at("s-0", addr)];
         let (_, mut watch) = fixture.watch();
+        let _others = (self.event == Event::NoRoom).then(|| occupy_all_sockets(&fixture));
         let mut client = Client::connect(fixture.addr);
         if self.has_served {
             client.act(Action::Request);
@@ -263,7 +276,7 @@
     fn cause(self, fixture: &mut NodeFixture, watch: &mut TcpStream) {
         let pause = || thread::sleep(Duration::from_millis(200));
         match self.event {
-            Event::None => {}
+            Event::None | Event::NoRoom => {}
             Event::Sigterm | Event::SigtermSeries => {
                 let kill_at = Instant::now() + Duration::from_millis(DEADLINE_MS) + KILL_DELAY;
                 fixture.signal("-TERM");
@@ -302,6 +315,16 @@
     }
 }
 
+/// Occupies all client sockets of a node with [`SOCKETS`] descriptors, by requests that their server holds.
+fn occupy_all_sockets(fixture: &NodeFixture) -> Vec<TcpStream> {
+    let hold = |number| fixture.send(&request("pay", &format!("{HELD_ID}{number}"), 60_000));
+    let held: Vec<TcpStream> = (0..CLIENT_SOCKETS).map(hold).collect();
+    wait_until("all sockets are occupied", || {
+        fixture.exchange(READY_REQUEST).status() == 503
+    });
+    held
+}
+
 fn play(plays: &[Play]) -> Vec<String> {
     let mut faults = Vec::new();
     for group in plays.chunks(PARALLEL_PLAYS) {
@@ -371,6 +394,14 @@
     }
     plays.retain(|play| is_whole || play.has_served);
     plays.extend(first_requests(is_whole));
+    // Such a connection ends with its first response.
+    plays.extend(actions.map(|action| Play {
+        event: Event::NoRoom,
+        action,
+        begins_ms: 0,
+        has_served: false,
+        response_ms: 40,
+    }));
     plays
 }
 
