Soak: signals in series up to the kill, broken long responses, requests that were read

Change: SIGTERM and SIGHUP at random times after the first SIGTERM; servers break off long responses in the step in which they begin; a request is lost too if its connection was closed after it had been read (no reset comes behind the close), and an answer that ends in the middle must be one that its server broke off. No check is weaker: an incomplete answer was counted as closed.

--- a/tests/node/soak.rs
+++ b/tests/node/soak.rs
@@ -8,6 +8,7 @@
 
 use fastrand::Rng;
 
+use super::common::received::{kind_of_close, ConnectionEnd};
 use super::crowd::{Crowd, KINDS};
 use super::memory_limit::{MemoryWatch, MEMORY_LIMIT_MB, SOCKETS};
 use super::*;
@@ -29,11 +30,21 @@
 
 /// Length from which on the first byte of an answer is timed.
 const LONG_ANSWER: usize = 64 * 1024;
+/// Longest time between two signals of a series.
+const LONGEST_SIGNAL_INTERVAL: Duration = Duration::from_millis(400);
 /// New connections come for this long after SIGTERM.
 const FRONT_END_DELAY: Duration = Duration::from_millis(400);
 
-/// How often each id of a non-idempotent request, and whether any id, has reached a server.
-type Arrivals = Arc<Mutex<HashMap<String, usize>>>;
+/// What the servers have done with the request of an id.
+#[derive(Clone, Copy, Default)]
+struct Arrival {
+    /// How often it has arrived.
+    count: usize,
+    /// Whether a long response to it was broken off.
+    has_broken_response: bool,
+}
+
+type Arrivals = Arc<Mutex<HashMap<String, Arrival>>>;
 
 /// What the platform's front end knows of the process.
 #[derive(Default)]
@@ -48,8 +59,10 @@
 enum Ending {
     /// An answer with this status, this long after the request. A long answer is timed by its first byte.
     Answered(u16, Duration),
+    /// The connection ended in the middle of an answer.
+    Incomplete,
     /// The connection ended without an answer.
-    Closed,
+    Closed(ConnectionEnd),
 }
 
 /// A request of a sound client.
@@ -77,9 +90,20 @@
     let mut input = BufReader::new(stream.try_clone().unwrap());
     while let Some(request) = Message::read(&mut input) {
         let id = request.header("x-txn").to_owned();
-        *arrivals.lock().unwrap().entry(id.clone()).or_default() += 1;
+        let fault = rng.u32(0..100);
+        let breaks_off = (15..19).contains(&fault);
+        {
+            let mut arrivals = arrivals.lock().unwrap();
+            let arrival = arrivals.entry(id.clone()).or_default();
+            arrival.count += 1;
+            arrival.has_broken_response |= breaks_off;
+        }
         thread::sleep(Duration::from_millis(rng.u64(1..40)));
-        let written = match rng.u32(0..100) {
+        let written = match fault {
+            _ if breaks_off => {
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nx");
+                return;
+            }
             0..4 => return,
             4..7 => {
                 thread::sleep(Duration::from_secs(4));
@@ -129,13 +153,19 @@
         let id = format!("{name}-{}", records.len());
         let sent_at = Instant::now();
         let _ = output.write_all(&request(class, &id, timeout_ms));
-        let begun = input.fill_buf().is_ok_and(|bytes| !bytes.is_empty());
+        let begun = input.fill_buf().map(|bytes| !bytes.is_empty());
         let first_byte = sent_at.elapsed();
-        let answer = Message::read(input).filter(|_| begun);
+        let has_begun = matches!(begun, Ok(true));
+        let answer = Message::read(input).filter(|_| has_begun);
         let closes = answer
             .as_ref()
             .is_none_or(|answer| answer.header("connection") == "close");
-        let ending = answer.map_or(Ending::Closed, |answer| {
+        let ending_without = || match begun {
+            Ok(true) => Ending::Incomplete,
+            Ok(false) => Ending::Closed(kind_of_close(output)),
+            Err(_) => Ending::Closed(ConnectionEnd::Reset),
+        };
+        let ending = answer.map_or_else(ending_without, |answer| {
             let is_long = answer.body.len() > LONG_ANSWER;
             let latency = if is_long {
                 first_byte
@@ -158,16 +188,22 @@
 }
 
 /// What went wrong in a play.
-fn faults_of(records: &[Record], arrivals: &HashMap<String, usize>) -> Vec<String> {
+fn faults_of(records: &[Record], arrivals: &HashMap<String, Arrival>) -> Vec<String> {
     let mut faults = Vec::new();
     for record in records {
-        let runs = arrivals.get(&record.id).copied().unwrap_or(0);
+        let arrival = arrivals.get(&record.id).copied().unwrap_or_default();
+        let runs = arrival.count;
         match &record.ending {
             Ending::Answered(_, latency) if *latency > record.timeout + LATEST_ANSWER => {
                 faults.push(format!("late: {record:?}"));
             }
-            // One that no server has seen may have crossed the close of its connection.
-            Ending::Closed if runs > 0 => faults.push(format!("lost: {record:?}")),
+            // One that no server has seen may have crossed the close of its connection, unless it was read.
+            Ending::Closed(end) if runs > 0 || *end == ConnectionEnd::Closed => {
+                faults.push(format!("lost: {record:?}"));
+            }
+            Ending::Incomplete if !arrival.has_broken_response => {
+                faults.push(format!("cut off: {record:?}"));
+            }
             _ => {}
         }
         let is_non_idempotent = record.timeout == Duration::from_millis(DEADLINES_MS[1]);
@@ -236,7 +272,14 @@
     let kill_at = Instant::now() + Duration::from_millis(DEADLINES_MS[0]) + KILL_DELAY;
     thread::sleep(FRONT_END_DELAY);
     front_end.has_moved_on.store(true, Ordering::Relaxed);
-    thread::sleep(kill_at - Instant::now());
+    while Instant::now() + LONGEST_SIGNAL_INTERVAL < kill_at {
+        thread::sleep(Duration::from_millis(rng.u64(20..400)));
+        // The process may have ended.
+        if fixture.node.try_wait().unwrap().is_none() {
+            fixture.signal(if rng.bool() { "-TERM" } else { "-HUP" });
+        }
+    }
+    thread::sleep(kill_at.saturating_duration_since(Instant::now()));
     front_end.is_killed.store(true, Ordering::Relaxed);
     fixture.kill();
     let records: Vec<Record> = clients
