Clients: a request that begins at the end of its connection's rest is served

Cause: the HTTP library's time for a head counts the rest in and ends the connection whatever has come of the head.

Change: the node looks at the rest itself; at its end the connection is closed as in a drain: a head in progress has 2.5 s more and its request is served.

--- a/src/bin/load-balancer/clients/serve.rs
+++ b/src/bin/load-balancer/clients/serve.rs
@@ -91,11 +91,7 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(if reject || only_one_request {
-                LAST_REQUEST_TIMEOUT
-            } else {
-                HEAD_TIMEOUT
-            })
+            .header_read_timeout((reject || only_one_request).then_some(LAST_REQUEST_TIMEOUT))
             .max_buf_size(MAX_HEAD_BYTES)
             .max_headers(MAX_HEADERS)
             .serve_connection(
@@ -114,6 +110,7 @@
                 self.metrics.head_timeouts.increment();
                 (true, CloseReason::HeadTimeout)
             }
+            () = client_connection.idle_for(HEAD_TIMEOUT) => (false, CloseReason::HeadTimeout),
             () = client_connection.close_requested.notified() => {
                 (!client_connection.has_sent_request(), CloseReason::Evicted)
             }
--- a/src/bin/load-balancer/connection.rs
+++ b/src/bin/load-balancer/connection.rs
@@ -264,6 +264,18 @@
                 .is_some_and(|since| since.elapsed() >= min_idle_time)
     }
 
+    /// Waits until no request has been pending for this long.
+    pub async fn idle_for(&self, limit: Duration) {
+        loop {
+            // While a request is pending, the time begins with its end at the earliest.
+            let since = self.idle_since.get().unwrap_or_else(Instant::now);
+            if since.elapsed() >= limit {
+                return;
+            }
+            sleep_until(since + limit).await;
+        }
+    }
+
     /// Waits until the time for the first request is over; never returns if a request has been received.
     pub async fn first_request_timed_out(&self) {
         sleep_until(self.opened + FIRST_REQUEST_TIMEOUT).await;
