--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod environment;
 pub mod http;
 pub mod node_fixture;
+pub mod plays;
 pub mod received;
 pub mod stand_ins;
 pub mod timed_requests;
--- a/tests/node/broken_responses.rs
+++ b/tests/node/broken_responses.rs
@@ -4,6 +4,8 @@
 //! `BROKEN_RESPONSE_SWEEP=1` plays the whole sweep; a run of all tests plays a part of it.
 
 use super::common::received::{Received, Verdict};
+use super::memory_limit::{MEMORY_LIMIT_MB, SOCKETS};
+use super::response_sweep::start_crowd;
 use super::*;
 
 /// Plays at the same time, each at a node of its own.
@@ -49,6 +51,8 @@
     moment: Moment,
     class: &'static str,
     http_1_0: bool,
+    /// Whether a crowd of clients uses the memory and the descriptors.
+    has_crowd: bool,
 }
 
 impl BrokenResponse {
@@ -76,6 +80,17 @@
         self.framing == Framing::End && self.end == ServerEnd::Close
     }
 
+    /// Whether a response of this framing can end so: a complete one by its length is not broken, and only a chunked one has
+    /// invalid chunks.
+    fn is_possible(self) -> bool {
+        let has_invalid_chunk = self.end == ServerEnd::InvalidChunk;
+        match self.framing {
+            Framing::Length => self.sent_bytes < self.length && !has_invalid_chunk,
+            Framing::Chunked => true,
+            Framing::End => !has_invalid_chunk,
+        }
+    }
+
     fn serve(self, mut stream: TcpStream) {
         if Message::read(&mut BufReader::new(stream.try_clone().unwrap())).is_none() {
             return;
@@ -112,8 +127,10 @@
             }
         });
         let fixture = NodeFixture::configured(0, &[], |config| {
+            config["limits"] = json!({"sockets": SOCKETS, "memory_mb": MEMORY_LIMIT_MB});
             config["known"]["members"] = json!([member_at("s-0", addr)]);
         });
+        let crowd = self.has_crowd.then(|| start_crowd(fixture.addr));
         let text = match self.http_1_0 {
             true => request_http_1_0(self.class, &new_id(), TIMEOUT_MS),
             false => request(self.class, &new_id(), TIMEOUT_MS),
@@ -122,6 +139,9 @@
         client.set_read_timeout(Some(CLIENT_PATIENCE)).unwrap();
         // A client that keeps its connection tells by the framing alone that the response is complete.
         let received = Received::until_complete(&mut client);
+        if let Some(crowd) = crowd {
+            crowd.join().unwrap();
+        }
         self.fault_of(&received)
             .map(|fault| format!("{self:?}: {fault}; {:?}", fixture.log.lines()))
     }
@@ -144,16 +164,7 @@
 
 /// Plays responses, each at a node of its own. Returns what went wrong.
 fn play(responses: &[BrokenResponse]) -> Vec<String> {
-    let mut faults = Vec::new();
-    for group in responses.chunks(PARALLEL_PLAYS) {
-        let plays: Vec<_> = group
-            .iter()
-            .map(|&response| thread::spawn(move || response.run()))
-            .collect();
-        faults.extend(plays.into_iter().filter_map(|play| play.join().unwrap()));
-    }
-    println!("{} of {} responses failed", faults.len(), responses.len());
-    faults
+    faults_of_plays(responses, PARALLEL_PLAYS, BrokenResponse::run)
 }
 
 // Guards against an accepted request whose connection ends without a byte of a response, as the response breaks off while
@@ -170,6 +181,7 @@
         moment: Moment::AtOnce,
         class: "pay",
         http_1_0: false,
+        has_crowd: false,
     };
     let responses: Vec<_> = sent_bytes.into_iter().map(of_length).collect();
     let faults = play(&responses);
@@ -213,15 +225,9 @@
             for framing in [Framing::Length, Framing::Chunked, Framing::End] {
                 for end in ends {
                     for &moment in moments {
-                        let may_break = match framing {
-                            Framing::Length => {
-                                sent_bytes < length && end != ServerEnd::InvalidChunk
-                            }
-                            Framing::Chunked => true,
-                            Framing::End => end != ServerEnd::InvalidChunk,
-                        };
-                        let of_client =
-                            |&(class, http_1_0): &(&'static str, bool)| BrokenResponse {
+                        let of_client = |&(class, http_1_0): &(&'static str, bool)| {
+                            let has_crowd = false;
+                            BrokenResponse {
                                 framing,
                                 length,
                                 sent_bytes,
@@ -229,14 +235,26 @@
                                 moment,
                                 class,
                                 http_1_0,
-                            };
-                        if may_break {
-                            responses.extend(clients.iter().map(of_client));
-                        }
+                                has_crowd,
+                            }
+                        };
+                        responses.extend(clients.iter().map(of_client));
                     }
                 }
             }
         }
     }
+    responses.retain(|response| response.is_possible());
+    // The time of the crowd is that of each play.
+    let of_interest = |response: &&BrokenResponse| {
+        response.sent_bytes <= 1 && response.length == 70_000 && response.class == "pay"
+    };
+    let beside_crowd: Vec<_> = responses.iter().filter(of_interest).copied().collect();
+    let step = if is_whole { 1 } else { 4 };
+    let beside_crowd = beside_crowd.into_iter().step_by(step);
+    responses.extend(beside_crowd.map(|response| BrokenResponse {
+        has_crowd: true,
+        ..response
+    }));
     responses
 }
--- a/tests/node/connection_ends.rs
+++ b/tests/node/connection_ends.rs
@@ -333,24 +333,11 @@
     held
 }
 
-fn play(plays: &[Play]) -> Vec<String> {
-    let mut faults = Vec::new();
-    for group in plays.chunks(PARALLEL_PLAYS) {
-        let running: Vec<_> = group
-            .iter()
-            .map(|&play| thread::spawn(move || play.run()))
-            .collect();
-        faults.extend(running.into_iter().filter_map(|play| play.join().unwrap()));
-    }
-    println!("{} of {} plays failed", faults.len(), plays.len());
-    faults
-}
-
 // Guards against a request that was read and whose connection is ended by the node without a response.
 #[test]
 fn no_request_that_was_read_ends_with_its_connection() {
     let is_whole = std::env::var("CONNECTION_END_SWEEP").is_ok();
-    let faults = play(&sweep(is_whole));
+    let faults = faults_of_plays(&sweep(is_whole), PARALLEL_PLAYS, Play::run);
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -46,4 +46,5 @@
 
 use common::http::*;
 use common::node_fixture::*;
+use common::plays::faults_of_plays;
 use common::stand_ins::*;
--- a/tests/node/malformed_responses.rs
+++ b/tests/node/malformed_responses.rs
@@ -243,16 +243,6 @@
 #[test]
 fn responses_in_all_forms_are_passed_on_or_visibly_fail() {
     let plays = plays(std::env::var("MALFORMED_RESPONSE_SWEEP").is_ok());
-    let total = plays.len();
-    let mut faults = Vec::new();
-    for group in plays.chunks(PARALLEL_PLAYS) {
-        let running: Vec<_> = group
-            .iter()
-            .cloned()
-            .map(|play| thread::spawn(move || play.run()))
-            .collect();
-        faults.extend(running.into_iter().filter_map(|play| play.join().unwrap()));
-    }
-    println!("{} of {total} plays failed", faults.len());
+    let faults = faults_of_plays(&plays, PARALLEL_PLAYS, Play::run);
     assert!(faults.is_empty(), "{faults:#?}");
 }
--- a/tests/node/response_sweep.rs
+++ b/tests/node/response_sweep.rs
@@ -115,7 +115,7 @@
 }
 
 /// Clients that send half of a long body or read slowly use memory and descriptors for a while.
-fn start_crowd(addr: SocketAddr) -> thread::JoinHandle<()> {
+pub(super) fn start_crowd(addr: SocketAddr) -> thread::JoinHandle<()> {
     let crowd = Crowd {
         clients: 100,
         time: Duration::from_secs(3),
@@ -168,16 +168,7 @@
 #[test]
 fn long_responses_of_all_lengths_and_paces_are_passed_on_whole() {
     let is_whole = std::env::var("RESPONSE_SWEEP").is_ok();
-    let mut faults = Vec::new();
-    let responses = sweep(is_whole);
-    for group in responses.chunks(PARALLEL_RESPONSES) {
-        let plays: Vec<_> = group
-            .iter()
-            .map(|&response| thread::spawn(move || response.run()))
-            .collect();
-        faults.extend(plays.into_iter().filter_map(|play| play.join().unwrap()));
-    }
-    println!("{} of {} responses failed", faults.len(), responses.len());
+    let faults = faults_of_plays(&sweep(is_whole), PARALLEL_RESPONSES, Response::run);
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
--- a/tests/node/upload_sweep.rs
+++ b/tests/node/upload_sweep.rs
@@ -217,16 +217,7 @@
 }
 
 fn run_all(uploads: &[Upload]) -> Vec<String> {
-    let mut faults = Vec::new();
-    for group in uploads.chunks(PARALLEL_UPLOADS) {
-        let plays: Vec<_> = group
-            .iter()
-            .map(|&upload| thread::spawn(move || upload.run()))
-            .collect();
-        faults.extend(plays.into_iter().filter_map(|play| play.join().unwrap()));
-    }
-    println!("{} of {} uploads failed", faults.len(), uploads.len());
-    faults
+    faults_of_plays(uploads, PARALLEL_UPLOADS, Upload::run)
 }
 
 /// An upload of the incident: its server stops reading, and it is longer than what the node receives ahead.
