--- a/src/bin/load-balancer/clients/guards.rs
+++ b/src/bin/load-balancer/clients/guards.rs
@@ -9,7 +9,7 @@
 use crate::connection::ConnectionState;
 use crate::event_loop::{ClientDisconnected, Message, RequestNumber};
 use crate::memory_budget::MemoryReservation;
-use crate::metrics::RequestOutcome;
+use crate::metrics::{CloseReason, RequestOutcome};
 use crate::task::Permit;
 
 /// What a client's connection takes of the process.
@@ -169,10 +169,8 @@
         if !self.ended.get() {
             self.clients.metrics.clients_disconnected.increment();
             if self.is_streaming.get() {
-                let what = format!(
-                    "was cut off by the end of its connection ({})",
-                    reason.name()
-                );
+                let name = reason.map_or("process ends", CloseReason::name);
+                let what = format!("was cut off by the end of its connection ({name})");
                 self.log_incomplete_response(&what);
             }
         }
--- a/src/bin/load-balancer/connection.rs
+++ b/src/bin/load-balancer/connection.rs
@@ -111,9 +111,9 @@
         self.close_reason.set(Some(reason));
     }
 
-    /// Why the connection has ended. One that is dropped without a reason ends with the process.
-    pub fn close_reason(&self) -> CloseReason {
-        self.close_reason.get().unwrap_or(CloseReason::Draining)
+    /// Why the connection has ended; `None` while it is open.
+    pub fn close_reason(&self) -> Option<CloseReason> {
+        self.close_reason.get()
     }
 
     pub fn has_sent_request(&self) -> bool {
--- a/src/bin/load-balancer/event_loop/messages.rs
+++ b/src/bin/load-balancer/event_loop/messages.rs
@@ -66,8 +66,8 @@
 pub struct ClientDisconnected {
     /// The request, which may have been answered.
     pub number: RequestNumber,
-    /// Why its connection has ended.
-    pub reason: CloseReason,
+    /// Why its connection has ended; `None` if it is open, as the node has answered the request itself.
+    pub reason: Option<CloseReason>,
 }
 
 /// A client's request has arrived.
--- a/src/bin/load-balancer/event_loop/request_log.rs
+++ b/src/bin/load-balancer/event_loop/request_log.rs
@@ -40,20 +40,22 @@
     }
 }
 
-/// Logs a request whose connection ended before it was answered.
+/// Logs a request that ended before the balancer answered it. Without a reason for the end of its connection, the node answered
+/// it itself: its body could not be received.
 pub fn log_abandoned(
     number: RequestNumber,
     request: &PendingRequest,
-    reason: CloseReason,
+    reason: Option<CloseReason>,
     servers: &Servers,
 ) {
     let ending = match reason {
-        CloseReason::ClientLeft | CloseReason::Finished => "left by its client",
-        CloseReason::Broken => "left unanswered, as its connection broke,",
-        CloseReason::HeadTimeout => "left unanswered by a head timeout",
-        CloseReason::Evicted => "left unanswered, as its connection was evicted,",
-        CloseReason::Draining => "left unanswered by the drain",
-        CloseReason::ResponseBroken => "left unanswered, as an earlier response broke off,",
+        None => "given up, as its body did not come,",
+        Some(CloseReason::ClientLeft | CloseReason::Finished) => "left by its client",
+        Some(CloseReason::Broken) => "left unanswered, as its connection broke,",
+        Some(CloseReason::HeadTimeout) => "left unanswered by a head timeout",
+        Some(CloseReason::Evicted) => "left unanswered, as its connection was evicted,",
+        Some(CloseReason::Draining) => "left unanswered by the drain",
+        Some(CloseReason::ResponseBroken) => "left unanswered, as an earlier response broke off,",
     };
     log_ending(number, request, ending, servers, request_line);
 }
