Tests: the ends of connections are played with changed configurations

Need: SIGHUP in series re-read an unchanged file. Change: each one brings other settings (attempts, objective) and another address of discovery.

--- a/tests/node/connection_ends.rs
+++ b/tests/node/connection_ends.rs
@@ -35,7 +35,7 @@
     Sigterm,
     /// SIGTERM three times, 0.2 s apart.
     SigtermSeries,
-    /// SIGHUP three times, 0.2 s apart.
+    /// SIGHUP three times, 0.2 s apart, each with other settings and another address of discovery.
     SighupSeries,
     Standby,
     /// A standby that ends after 0.4 s.
@@ -301,7 +301,11 @@
                 fixture.kill();
             }
             Event::SighupSeries => {
-                for _ in 0..3 {
+                let mut watches = Vec::new();
+                for attempts in [1, 2, 3] {
+                    fixture.config["settings"]["bounds"]["max-attempts"] = json!(attempts);
+                    fixture.config["settings"]["classes"][0]["aim"] = json!(100_000 * attempts);
+                    watches.push(fixture.move_discovery());
                     fixture.signal("-HUP");
                     pause();
                 }
