--- a/src/bin/load-balancer/clients/serve.rs
+++ b/src/bin/load-balancer/clients/serve.rs
@@ -25,17 +25,18 @@
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Most header fields of a request.
 const MAX_HEADERS: usize = 64;
-/// Longest wait for a request's head, idle time between requests included.
+/// Longest time for which a connection may be idle between requests. A head that has begun by then may still become complete.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-/// Longest wait for the head of the request on a connection that gets only one request answered: a connection
-/// past the budget, whose request is rejected, or one accepted while idle connections are being closed.
+/// Longest wait for a head on a connection that ends with its first response, unless more was read by then: a connection
+/// past the budget, whose requests are rejected, or one accepted while idle connections are being closed.
 const LAST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Most requests that are rejected on a connection without room, so that a client that goes on sending does not keep it.
 const MAX_REJECTED_REQUESTS: u32 = 100;
 
 impl Clients {
-    /// Serves a connection until it ends. With `reject`, its first request is rejected, which closes it.
+    /// Serves a connection until it ends. With `reject`, its first request is rejected, and so are those that were read by
+    /// then; that closes it.
     pub(super) async fn serve(
         self: Rc<Self>,
         stream: TcpStream,
